--- /dev/null
+++ b/src/dykemast/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private parts of dykemast; nothing here is a public interface."""
--- /dev/null
+++ b/src/dykemast/_internal/blackboard.py
@@ -0,0 +1,97 @@
+"""Blackboard: what the parts of one router know, and who may write it.
+
+Each section has one writer, named in its doc comment; all others only read.
+"""
+
+import dataclasses
+
+from dykemast._internal.models.fleet import Instance, LoadReport, PeerCard
+from dykemast._internal.models.revisions import Revision
+from dykemast._internal.models.settings import RouterSettings
+
+
+@dataclasses.dataclass
+class PeerView:
+    """A peer as last heard of.
+
+    :param card: what it tells about itself.
+    :param beat: its heartbeat count.
+    :param heard_at: seconds at which the count last grew.
+    """
+
+    card: PeerCard
+    beat: int
+    heard_at: float
+
+
+@dataclasses.dataclass
+class Fleet:
+    """Other processes. Written by ``controllers.membership``.
+
+    :param peers: other routers by instance id.
+    :param instances: the platform's list, as last read.
+    :param leaving: backend servers that are leaving; only ever grows while
+        they are listed, since the list lags.
+    :param missing_since: instances gone from the list, and since when.
+    :param incarnations: newest incarnation by instance, from the platform.
+    :param listed_at: seconds at which the list was last read; 0 for never.
+    """
+
+    peers: dict[str, PeerView] = dataclasses.field(default_factory=dict)
+    instances: list[Instance] = dataclasses.field(default_factory=list)
+    leaving: set[str] = dataclasses.field(default_factory=set)
+    missing_since: dict[str, float] = dataclasses.field(default_factory=dict)
+    incarnations: dict[str, str] = dataclasses.field(default_factory=dict)
+    listed_at: float = 0
+
+
+@dataclasses.dataclass
+class Loads:
+    """Load of the workers. Written by ``controllers.loads``.
+
+    :param reports: last report by instance id.
+    """
+
+    reports: dict[str, LoadReport] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class Rules:
+    """Configuration in force. Written by ``controllers.configuration``.
+
+    :param revision: newest accepted revision known here.
+    """
+
+    revision: Revision | None = None
+
+
+@dataclasses.dataclass
+class Traffic:
+    """Requests in progress. Written by the ``path`` package.
+
+    :param inflight: requests in progress here.
+    :param by_worker: requests sent to each worker and not yet answered.
+    :param by_workspace: requests in progress by workspace.
+    :param leaving: whether this router is stopping.
+    """
+
+    inflight: int = 0
+    by_worker: dict[str, int] = dataclasses.field(default_factory=dict)
+    by_workspace: dict[str, int] = dataclasses.field(default_factory=dict)
+    leaving: bool = False
+
+
+@dataclasses.dataclass
+class Blackboard:
+    """All sections.
+
+    :param settings: of this process; never changes.
+    :param incarnation: random, fresh for this process start.
+    """
+
+    settings: RouterSettings
+    incarnation: str
+    fleet: Fleet = dataclasses.field(default_factory=Fleet)
+    loads: Loads = dataclasses.field(default_factory=Loads)
+    rules: Rules = dataclasses.field(default_factory=Rules)
+    traffic: Traffic = dataclasses.field(default_factory=Traffic)
--- /dev/null
+++ b/src/dykemast/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: parses arguments and maps errors to exit codes."""
--- /dev/null
+++ b/src/dykemast/_internal/cli/admin_arguments.py
@@ -0,0 +1,54 @@
+"""Arguments that say where the administration API is."""
+
+import dataclasses
+import sys
+from typing import Annotated, Any
+
+import cappa
+import msgspec
+
+from dykemast._internal.network.admin_client import AdminAddress
+
+
+@dataclasses.dataclass
+class AdminArguments:
+    """Arguments shared by all commands that speak to a router."""
+
+    admin: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env(
+                'DYKEMAST_ADMIN', default='http://127.0.0.1:7003'
+            ),
+            help='URL of the administration API.',
+        ),
+    ]
+    key: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env('DYKEMAST_KEY', default=''),
+            help="The operators' key; better given by DYKEMAST_KEY.",
+        ),
+    ]
+    json: Annotated[
+        bool, cappa.Arg(long=True, help='Print JSON, for scripts.')
+    ] = False
+
+    def find_address(self) -> AdminAddress:
+        """Find where to call.
+
+        :returns: URL and key.
+        """
+        return AdminAddress(self.admin.rstrip('/'), self.key)
+
+    def show(self, answer: Any, text: str) -> None:
+        """Print an answer as the user wants it.
+
+        :param answer: for scripts.
+        :param text: for people.
+        """
+        if self.json:
+            text = msgspec.json.encode(answer).decode()
+        sys.stdout.write(f'{text}\n')
--- /dev/null
+++ b/src/dykemast/_internal/cli/commands.py
@@ -0,0 +1,53 @@
+"""Commands of the program, as the command line shows them."""
+
+import dataclasses
+from typing import Annotated
+
+import cappa
+
+from dykemast._internal.cli.fleet_commands import Bills, Budget, Status
+from dykemast._internal.cli.file_commands import Check, Policy, Submit
+from dykemast._internal.commands import router, version
+
+
+@cappa.command(name='router')
+@dataclasses.dataclass
+class Router:
+    """Run a router until it gets SIGTERM; a second signal hastens its end."""
+
+    settings: Annotated[
+        str, cappa.Arg(long=True, help='Settings file of this instance.')
+    ]
+
+    def __call__(self) -> None:
+        """Run the command."""
+        router.run_router(self.settings)
+
+
+@cappa.command(name='version')
+@dataclasses.dataclass
+class Version:
+    """Show the version of the program."""
+
+    def __call__(self) -> None:
+        """Run the command."""
+        version.show_version()
+
+
+@cappa.command(
+    name='dykemast',
+    help='Router fleet for prepaid token budgets.',
+    description=(
+        'Begin with "dykemast check FILE", which lists all that is wrong '
+        'with a configuration. Exit codes: 0 done, 1 failed, 2 wrong '
+        'arguments, 3 findings in a file, 4 another operator was first, '
+        '5 the administration API refused or did not answer.'
+    ),
+)
+@dataclasses.dataclass
+class Dykemast:
+    """The program."""
+
+    command: cappa.Subcommands[
+        Router | Check | Submit | Status | Budget | Bills | Policy | Version
+    ]
--- /dev/null
+++ b/src/dykemast/_internal/cli/exit_codes.py
@@ -0,0 +1,37 @@
+"""Exit codes, as docs/operators.md lists them."""
+
+from typing import Final
+
+from dykemast._internal.exceptions import (
+    AdminError,
+    InvalidFileError,
+    StaleRevisionError,
+)
+
+#: Something else went wrong.
+FAILED: Final = 1
+#: A file has findings.
+INVALID: Final = 3
+#: Another operator's change came first.
+STALE: Final = 4
+#: The administration API refused, or did not answer.
+REFUSED: Final = 5
+#: Interrupted from the keyboard.
+INTERRUPTED: Final = 130
+
+
+def choose_exit_code(error: BaseException) -> int:
+    """Choose the exit code for an error.
+
+    :param error: what ended the command.
+    :returns: the code.
+    """
+    for kind, code in (
+        (InvalidFileError, INVALID),
+        (StaleRevisionError, STALE),
+        (AdminError, REFUSED),
+        (KeyboardInterrupt, INTERRUPTED),
+    ):
+        if isinstance(error, kind):
+            return code
+    return FAILED
--- /dev/null
+++ b/src/dykemast/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module a command; each only wires parts together."""
--- /dev/null
+++ b/src/dykemast/_internal/commands/policy.py
@@ -0,0 +1,61 @@
+"""Try the policies of a configuration."""
+
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from dykemast._internal.exceptions import Finding, InvalidFileError
+from dykemast._internal.models.revisions import PolicySpec
+from dykemast._internal.operations.expressions import PolicyError
+from dykemast._internal.operations.findings import check_configuration
+from dykemast._internal.operations.policies import decide
+from dykemast._internal.operations.policy_check import make_sample
+
+
+def try_policies(path: str, request: str) -> str:
+    """Run all policies of a configuration on one request.
+
+    :param path: configuration file.
+    :param request: YAML file; what it lacks is filled with a sample.
+    :returns: a line for each policy.
+    :raises InvalidFileError: when a file has findings.
+    """
+    text = Path(path).read_text(encoding='utf-8')
+    configuration = check_configuration(path, text)
+    view = _merge(make_sample(configuration), _read_view(request))
+    return '\n'.join(
+        _explain(policy, view) for policy in configuration['policies']
+    )
+
+
+def _read_view(path: str) -> dict[str, Any]:
+    view = yaml.safe_load(Path(path).read_text(encoding='utf-8'))
+    if not isinstance(view, dict):
+        found = Finding(path, 1, '', 'write request, budget and fleet.')
+        raise InvalidFileError([found])
+    return view
+
+
+def _merge(sample: Any, given: Any) -> dict[str, Any]:
+    merged: dict[str, Any] = {}
+    for name, part in sample.items():
+        merged[name] = {**part, **given.get(name, {})}
+    return merged
+
+
+def _explain(policy: PolicySpec, view: dict[str, Any]) -> str:
+    name = policy['name']
+    try:
+        decision = decide(policy, view, str(view['request']['model']))
+    except PolicyError as error:
+        return f'{name}: fails: {error.field}: {error}'
+    if not decision.allow:
+        reason = policy.get('allow')
+        return f'{name}: refuses, because {reason!r} is false'
+    return '{}: allows; models {}; budgets {}; priority {}'.format(
+        name,
+        ', '.join(decision.models),
+        ', '.join(decision.budgets),
+        decision.priority,
+    )
--- /dev/null
+++ b/src/dykemast/_internal/commands/router.py
@@ -0,0 +1,62 @@
+"""Run one router until it is told to stop."""
+
+import asyncio
+import random
+import secrets
+import signal
+import sys
+from typing import Final
+
+import logbook
+
+from dykemast._internal.blackboard import Blackboard
+from dykemast._internal.controllers.runtime import open_runtime
+from dykemast._internal.models.settings import DEFAULTS, RouterSettings
+from dykemast._internal.utils.yaml_files import read_yaml
+
+_log = logbook.Logger('router')
+
+#: Bytes of randomness in an incarnation.
+INCARNATION_BYTES: Final = 8
+
+
+def run_router(path: str) -> None:
+    """Run a router.
+
+    :param path: its settings file.
+    :raises InvalidFileError: when the file has findings.
+    """
+    given: RouterSettings = read_yaml(path, RouterSettings)
+    settings = RouterSettings(**{**DEFAULTS, **given})
+    log_output = logbook.StreamHandler(
+        sys.stderr,
+        level=settings['log_level'],
+        format_string='{record.time:%H:%M:%S.%f} {record.level_name} '
+        '{record.message}',
+    )
+    with log_output.applicationbound():
+        asyncio.run(_serve(settings))
+
+
+async def _serve(settings: RouterSettings) -> None:
+    board = Blackboard(settings, secrets.token_hex(INCARNATION_BYTES))
+    stop = asyncio.Event()
+    hasten = asyncio.Event()
+    _watch_signals(stop, hasten)
+    runtime = await open_runtime(board, random.Random())
+    _log.info('router: {} serves callers.', settings['instance'])
+    await stop.wait()
+    await runtime.stop(hasten)
+    _log.info('router: {} has stopped.', settings['instance'])
+
+
+def _watch_signals(stop: asyncio.Event, hasten: asyncio.Event) -> None:
+    def on_signal() -> None:
+        # The first signal asks for a planned stop, the second hastens it.
+        if stop.is_set():
+            hasten.set()
+        stop.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
--- /dev/null
+++ b/src/dykemast/_internal/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Loops that read and write the blackboard."""
--- /dev/null
+++ b/src/dykemast/_internal/controllers/keepers.py
@@ -0,0 +1,128 @@
+"""Hand intents to the router that keeps a shard, or write them oneself.
+
+Who keeps a shard is a hint. When the keeper does not answer, this router
+writes itself: the conditional update lets only one of them win.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+import logbook
+
+from dykemast._internal.blackboard import Blackboard
+from dykemast._internal.exceptions import PeerError
+from dykemast._internal.network import ledger_codec
+from dykemast._internal.network.peer_client import PeerClient
+from dykemast._internal.operations.group_commit import GroupCommit, Ledger
+from dykemast._internal.operations.peers import list_keepers
+from dykemast._internal.operations.rendezvous import choose_keeper
+
+_log = logbook.Logger('keeper')
+
+#: Seconds to wait for a keeper: a little longer than an intent lives there.
+KEEPER_TIMEOUT: Final = 3.0
+
+
+class LedgerKind(NamedTuple):
+    """How the shards of one kind are opened and sent.
+
+    :param open_shard: makes the ledger of a shard by its name.
+    :param decode_acks: reads the answers that a keeper sends.
+    :param pause: seconds between two writes of one shard.
+    """
+
+    open_shard: Callable[[str], Ledger]
+    decode_acks: Callable[[bytes], list[Any]]
+    pause: float
+
+
+class Keepers:
+    """Group commits of this router, and the way to those of others.
+
+    :param board: the blackboard; only read.
+    :param client: calls to other routers.
+    :param kinds: kinds of ledger by the first part of their shards' names.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        client: PeerClient,
+        kinds: dict[str, LedgerKind],
+    ) -> None:
+        """Start with no shard open."""
+        self._board = board
+        self._client = client
+        self._kinds = kinds
+        self._open: dict[str, GroupCommit] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def commit(self, ledger: str, intents: list[Any]) -> list[Any]:
+        """Have intents written by the shard's keeper.
+
+        :param ledger: name of the shard.
+        :param intents: what to write.
+        :returns: an answer to each.
+        :raises PlatformError: when they could not be written.
+        """
+        keeper = self.find_keeper(ledger)
+        view = self._board.fleet.peers.get(keeper or '')
+        if view is None:
+            return await self.commit_here(ledger, intents)
+        body = ledger_codec.encode_intents(intents)
+        try:
+            acks = await self._client.call(
+                view.card, 'commit', (ledger, body), KEEPER_TIMEOUT
+            )
+        except PeerError as error:
+            _log.info('keeper: {} writes itself: {}', ledger, error)
+            return await self.commit_here(ledger, intents)
+        return self._find_kind(ledger).decode_acks(acks)
+
+    async def commit_here(self, ledger: str, intents: list[Any]) -> list[Any]:
+        """Write intents from this router.
+
+        :param ledger: name of the shard.
+        :param intents: what to write.
+        :returns: an answer to each.
+        :raises PlatformError: when they could not be written.
+        """
+        commit = self._open.get(ledger)
+        if commit is None:
+            kind = self._find_kind(ledger)
+            commit = GroupCommit(ledger, kind.open_shard(ledger), kind.pause)
+            self._open[ledger] = commit
+            self._tasks.append(asyncio.create_task(commit.run()))
+        return await commit.submit(intents)
+
+    async def serve(self, ledger: str, body: bytes) -> bytes:
+        """Write intents that another router sent.
+
+        :param ledger: name of the shard.
+        :param body: the intents as sent.
+        :returns: the answers as sent.
+        """
+        intents = ledger_codec.decode_intents(body)
+        return ledger_codec.encode_acks(await self.commit_here(ledger, intents))
+
+    def find_keeper(self, ledger: str) -> str | None:
+        """Find the router that should keep a shard.
+
+        :param ledger: name of the shard.
+        :returns: its instance id.
+        """
+        keepers = list_keepers(self._board, time.monotonic())
+        return choose_keeper(ledger, keepers)
+
+    def close(self) -> None:
+        """Stop writing."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _find_kind(self, ledger: str) -> LedgerKind:
+        kind = self._kinds.get(ledger.split('/', 1)[0])
+        if kind is None:
+            raise PeerError(f'{ledger}: no such ledger.')
+        return kind
--- /dev/null
+++ b/src/dykemast/_internal/controllers/lease_renewals.py
@@ -0,0 +1,88 @@
+"""Renew the leases of one budget shard."""
+
+import asyncio
+import contextlib
+import functools
+import time
+from collections.abc import Callable
+from typing import Final
+
+import logbook
+
+from dykemast._internal.controllers.keepers import Keepers
+from dykemast._internal.exceptions import DykemastError
+from dykemast._internal.models.budgets import BudgetAck
+from dykemast._internal.operations.lease_book import LeaseBook
+
+_log = logbook.Logger('lease')
+
+#: Seconds between two looks at the leases of a shard.
+TICK: Final = 0.5
+
+
+class LeaseRenewer:
+    """Renews leases of one shard, one batch at a time.
+
+    :param book: leases of this router.
+    :param keepers: way to the shard.
+    :param ledger: name of the shard.
+    :param belongs: tells whether a budget is of the shard.
+    """
+
+    def __init__(
+        self,
+        book: LeaseBook,
+        keepers: Keepers,
+        ledger: str,
+        belongs: Callable[[str], bool],
+    ) -> None:
+        """Start with nothing renewed."""
+        self.kick = asyncio.Event()
+        self.away = False
+        self._book = book
+        self._commit = functools.partial(keepers.commit, ledger)
+        self._belongs = belongs
+        self._seen = 0
+
+    async def run(self, on_news: Callable[[], None]) -> None:
+        """Renew until cancelled.
+
+        :param on_news: called after each round.
+        """
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TICK):
+                    await self.kick.wait()
+            self.kick.clear()
+            try:
+                await self.renew()
+            except DykemastError as error:
+                self.away = True
+                _log.warning('lease: not renewed: {}', error)
+            on_news()
+
+    async def renew(self) -> None:
+        """Renew what is due.
+
+        :raises PlatformError: when nobody could write.
+        """
+        plans = self._book.plan_renewals(
+            self._belongs, time.monotonic(), self._seen
+        )
+        if not plans:
+            return
+        for ack in await self._commit(plans):
+            self._take(ack)
+        self.away = False
+
+    def _take(self, ack: BudgetAck) -> None:
+        self._seen = max(self._seen, ack.version)
+        self._book.take_ack(ack, time.monotonic())
+        _log.info(
+            'lease: {} allotted {} armed {} free {} target {}.',
+            ack.budget,
+            ack.allotted,
+            ack.armed,
+            ack.free,
+            ack.target,
+        )
--- /dev/null
+++ b/src/dykemast/_internal/controllers/leases.py
@@ -0,0 +1,90 @@
+"""Leases of this router, and what requests wait for."""
+
+import asyncio
+import contextlib
+import math
+import time
+
+from dykemast._internal.controllers.keepers import Keepers
+from dykemast._internal.controllers.lease_renewals import LeaseRenewer
+from dykemast._internal.network.budget_ledger import PREFIX
+from dykemast._internal.operations.lease_book import LeaseBook
+from dykemast._internal.operations.rendezvous import choose_shard
+
+
+class Leases:
+    """Leases of this router over all budget shards.
+
+    :param book: the leases.
+    :param keepers: way to the budget shards.
+    :param shards: how many budget shards there are.
+    """
+
+    def __init__(self, book: LeaseBook, keepers: Keepers, shards: int) -> None:
+        """Start with no lease."""
+        self.book = book
+        self._news = asyncio.Event()
+        self._renewers = [
+            _make_renewer(book, keepers, (number, shards))
+            for number in range(shards)
+        ]
+
+    async def run(self) -> None:
+        """Renew leases until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for renewer in self._renewers:
+                group.create_task(renewer.run(self._wake_waiters))
+
+    def find_renewer(self, budget: str) -> LeaseRenewer:
+        """Find who renews a budget's lease.
+
+        :param budget: its name.
+        :returns: the renewer of its shard.
+        """
+        return self._renewers[choose_shard(budget, len(self._renewers))]
+
+    async def wait_news(self, patience: float) -> None:
+        """Wait until some leases were looked at.
+
+        :param patience: seconds to wait at most.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(patience):
+                await self._news.wait()
+
+    def recall(self, budget: str) -> None:
+        """Renew a lease at once because others need its tokens.
+
+        :param budget: its name.
+        """
+        holder = self.book.holders.get(budget)
+        if holder:
+            holder.lease.renewed_at = -math.inf
+            self.find_renewer(budget).kick.set()
+
+    async def close_all(self) -> None:
+        """Give back all leases that are not in use.
+
+        :raises PlatformError: when that could not be written.
+        """
+        self.book.close_all(time.monotonic(), 0)
+        for renewer in self._renewers:
+            await renewer.renew()
+
+    def _wake_waiters(self) -> None:
+        waited = self._news
+        self._news = asyncio.Event()
+        waited.set()
+
+
+def _make_renewer(
+    book: LeaseBook,
+    keepers: Keepers,
+    place: tuple[int, int],
+) -> LeaseRenewer:
+    number, shards = place
+
+    def belongs(budget: str) -> bool:
+        return choose_shard(budget, shards) == number
+
+    return LeaseRenewer(book, keepers, f'{PREFIX}{number}', belongs)
--- /dev/null
+++ b/src/dykemast/_internal/controllers/ledger_kinds.py
@@ -0,0 +1,38 @@
+"""Kinds of ledgers: budget shards and journal shards."""
+
+from typing import Final
+
+from dykemast._internal.controllers.keepers import LedgerKind
+from dykemast._internal.network import budget_ledger, journal_ledger
+from dykemast._internal.network.ledger_codec import (
+    decode_budget_acks,
+    decode_journal_acks,
+)
+from dykemast._internal.network.platform import Platform
+from dykemast._internal.operations.group_commit import Ledger
+
+#: Seconds between two writes of a budget shard.
+BUDGET_PAUSE: Final = 0.2
+#: Seconds between two writes of a journal shard.
+JOURNAL_PAUSE: Final = 0.1
+
+
+def make_kinds(platform: Platform) -> dict[str, LedgerKind]:
+    """Describe the kinds of ledgers.
+
+    :param platform: session with the platform.
+    :returns: kinds by the first part of their shards' names.
+    """
+
+    def open_budgets(name: str) -> Ledger:
+        shard = budget_ledger.BudgetShard(platform, name)
+        return budget_ledger.make_ledger(shard)
+
+    def open_journal(name: str) -> Ledger:
+        shard = journal_ledger.JournalShard(platform, name)
+        return journal_ledger.make_ledger(shard)
+
+    return {
+        'budgets': LedgerKind(open_budgets, decode_budget_acks, BUDGET_PAUSE),
+        'journal': LedgerKind(open_journal, decode_journal_acks, JOURNAL_PAUSE),
+    }
--- /dev/null
+++ b/src/dykemast/_internal/controllers/lending.py
@@ -0,0 +1,82 @@
+"""Lend leased tokens to each other while the platform is away."""
+
+import time
+import uuid
+from collections import OrderedDict
+from typing import Final
+
+import logbook
+
+from dykemast._internal.blackboard import Blackboard
+from dykemast._internal.exceptions import PeerError
+from dykemast._internal.network.peer_client import PeerClient
+from dykemast._internal.operations.lease_book import LeaseBook
+from dykemast._internal.operations.peers import list_peers
+
+_log = logbook.Logger('lend')
+
+#: Transfers that are remembered, so that a repeat gives nothing twice.
+REMEMBERED: Final = 10000
+#: Times the wanted tokens that are asked for, to ask less often.
+BORROW_AHEAD: Final = 4
+
+
+class Lending:
+    """Both sides of lending.
+
+    :param board: the blackboard; only read.
+    :param book: leases of this router.
+    :param client: calls to other routers.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        book: LeaseBook,
+        client: PeerClient,
+    ) -> None:
+        """Start with nothing lent."""
+        self._board = board
+        self._book = book
+        self._client = client
+        self._given: OrderedDict[str, int] = OrderedDict()
+
+    async def borrow(self, budget: str, tokens: int) -> int:
+        """Ask peers for tokens of a budget.
+
+        :param budget: its name.
+        :param tokens: how many are needed.
+        :returns: how many were got; the lenders count them as spent.
+        """
+        got = 0
+        peers = list_peers(self._board.fleet, time.monotonic())
+        for card in peers:
+            words = (budget, tokens * BORROW_AHEAD - got, uuid.uuid4().hex)
+            try:
+                got += await self._client.call(card, 'lend', words)
+            except PeerError as error:
+                # What was lent and not received is stranded, never doubled.
+                _log.info('lend: {}', error)
+            if got >= tokens:
+                break
+        _log.info('lend: got {} tokens of {}.', got, budget)
+        return got
+
+    async def lend(self, budget: str, tokens: int, transfer: str) -> int:
+        """Give tokens to a peer.
+
+        :param budget: name of the budget.
+        :param tokens: how many it wants.
+        :param transfer: id of the transfer; a repeat gets the same answer.
+        :returns: how many it gets.
+        """
+        known = self._given.get(transfer)
+        if known is not None:
+            return known
+        holder = self._book.holders.get(budget)
+        given = holder.lend(tokens, time.monotonic()) if holder else 0
+        self._given[transfer] = given
+        if len(self._given) > REMEMBERED:
+            self._given.popitem(last=False)
+        _log.info('lend: gave {} tokens of {}.', given, budget)
+        return given
--- /dev/null
+++ b/src/dykemast/_internal/controllers/load_reports.py
@@ -0,0 +1,65 @@
+"""Ask the workers for their load. Writes the blackboard's loads section."""
+
+import asyncio
+from typing import Final
+
+import logbook
+
+from dykemast._internal.blackboard import Blackboard
+from dykemast._internal.exceptions import UpstreamError
+from dykemast._internal.models.fleet import Instance
+from dykemast._internal.models.revisions import ServiceSpec
+from dykemast._internal.network.backends import Backends
+
+_log = logbook.Logger('load')
+
+#: Seconds between two load reports of a worker.
+LOAD_INTERVAL: Final = 1.0
+
+
+class LoadReader:
+    """Reader of load reports.
+
+    :param board: the blackboard.
+    :param backends: sessions with backend servers.
+    """
+
+    def __init__(self, board: Blackboard, backends: Backends) -> None:
+        """Start with no report."""
+        self._board = board
+        self._backends = backends
+
+    async def run(self) -> None:
+        """Keep the section up to date until cancelled."""
+        while True:
+            workers = self._list_workers()
+            await asyncio.gather(*(self._read(one) for one in workers))
+            names = {instance.name for instance in workers}
+            reports = self._board.loads.reports
+            for gone in set(reports) - names:
+                reports.pop(gone)
+            await asyncio.sleep(LOAD_INTERVAL)
+
+    async def _read(self, instance: Instance) -> None:
+        try:
+            report = await self._backends.read_load(instance)
+        except UpstreamError as error:
+            _log.debug('load: {} gave none: {}', instance.name, error)
+            return
+        self._board.loads.reports[instance.name] = report
+
+    def _list_workers(self) -> list[Instance]:
+        engines = {
+            service['name']
+            for service in self._list_services()
+            if service['kind'] == 'engine'
+        }
+        return [
+            instance
+            for instance in self._board.fleet.instances
+            if instance.role in engines
+        ]
+
+    def _list_services(self) -> list[ServiceSpec]:
+        revision = self._board.rules.revision
+        return revision.configuration['services'] if revision else []
--- /dev/null
+++ b/src/dykemast/_internal/controllers/news.py
@@ -0,0 +1,113 @@
+"""Exchange news among routers: who is up, who is leaving.
+
+Writes the peers' fields of the blackboard's fleet section.
+"""
+
+import asyncio
+import random
+import time
+from typing import Any, Final
+
+import logbook
+
+from dykemast._internal.blackboard import Blackboard, PeerView
+from dykemast._internal.exceptions import DykemastError
+from dykemast._internal.models.fleet import Instance, PeerCard
+from dykemast._internal.network import peer_codec
+from dykemast._internal.network.peer_client import PeerClient
+from dykemast._internal.operations import peers
+from dykemast._internal.operations.instance_list import ROUTER_ROLE
+
+_log = logbook.Logger('member')
+
+#: Seconds between two rounds of news.
+NEWS_INTERVAL: Final = 1.0
+#: Peers that get news in one round, whatever the fleet's size.
+NEWS_FANOUT: Final = 3
+
+
+class News:
+    """Exchange with other routers.
+
+    :param board: the blackboard.
+    :param client: calls to other routers.
+    """
+
+    def __init__(self, board: Blackboard, client: PeerClient) -> None:
+        """Start knowing nobody."""
+        self._board = board
+        self._client = client
+        self._beat = 0
+        self._chance = random.Random(board.incarnation)
+
+    async def run(self) -> None:
+        """Exchange news until cancelled."""
+        while True:
+            await self.spread()
+            await asyncio.sleep(NEWS_INTERVAL)
+
+    async def take_news(self, news: Any) -> Any:
+        """Take in a peer's news and tell this router's.
+
+        :param news: a ``Gossip``.
+        :returns: a ``Gossip``.
+        """
+        fleet = self._board.fleet
+        now = time.monotonic()
+        for card in news.cards:
+            if card.instance != self._board.settings['instance']:
+                peers.note_card(
+                    fleet, peer_codec.unpack_card(card), card.beat, now
+                )
+        listed = {instance.name for instance in fleet.instances}
+        fleet.leaving.update(set(news.leaving) & listed)
+        return self._make_news()
+
+    async def spread(self) -> None:
+        """Exchange news with some peers, also those only listed yet."""
+        targets = self._list_targets()
+        count = min(NEWS_FANOUT, len(targets))
+        await asyncio.gather(
+            *(self._tell(card) for card in self._chance.sample(targets, count))
+        )
+
+    async def _tell(self, card: PeerCard) -> None:
+        try:
+            news = await self._client.call(
+                card, 'exchange', (self._make_news(),)
+            )
+        except DykemastError as error:
+            _log.debug('member: {}', error)
+            return
+        await self.take_news(news)
+
+    def _make_news(self) -> Any:
+        self._beat += 1
+        fleet = self._board.fleet
+        now = time.monotonic()
+        mine = PeerView(peers.make_card(self._board), self._beat, now)
+        views = [mine, *peers.choose_news(fleet, now, self._chance)]
+        return peer_codec.peer_thrift.Gossip(
+            cards=[peer_codec.pack_view(view) for view in views],
+            leaving=sorted(fleet.leaving),
+        )
+
+    def _list_targets(self) -> list[PeerCard]:
+        own = self._board.settings['instance']
+        return [
+            _guess_card(instance)
+            for instance in self._board.fleet.instances
+            if instance.role == ROUTER_ROLE and instance.name != own
+        ]
+
+
+def _guess_card(instance: Instance) -> PeerCard:
+    """Make a card that suffices to call a router that is only listed."""
+    return PeerCard(
+        instance=instance.name,
+        incarnation=f'{instance.host}:{instance.port}',
+        hall=instance.hall,
+        host=instance.host,
+        caller_port=0,
+        peer_port=instance.port,
+    )
--- /dev/null
+++ b/src/dykemast/_internal/controllers/reclaims.py
@@ -0,0 +1,94 @@
+"""Take back the leases of routers that are shown to be dead."""
+
+import asyncio
+import time
+from typing import Final
+
+import logbook
+import msgspec
+
+from dykemast._internal.blackboard import Blackboard
+from dykemast._internal.controllers.keepers import Keepers
+from dykemast._internal.controllers.instances import MEMBERS
+from dykemast._internal.exceptions import DykemastError
+from dykemast._internal.network.budget_ledger import PREFIX, BudgetShard
+from dykemast._internal.network.platform import Platform
+from dykemast._internal.operations import holder, instance_list, reclaim
+
+_log = logbook.Logger('reclaim')
+
+#: Seconds between two looks at the shards that this router keeps.
+RECLAIM_INTERVAL: Final = 3.0
+
+
+class Reclaims:
+    """Looks after the shards that this router keeps.
+
+    :param board: the blackboard; only the incarnations are written.
+    :param platform: session with the platform.
+    :param keepers: way to the budget shards.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        platform: Platform,
+        keepers: Keepers,
+    ) -> None:
+        """Start with nothing read."""
+        self._board = board
+        self._platform = platform
+        self._keepers = keepers
+        self._shards: dict[str, BudgetShard] = {}
+
+    async def run(self) -> None:
+        """Look after the shards until cancelled."""
+        while True:
+            await asyncio.sleep(RECLAIM_INTERVAL)
+            try:
+                await self._look()
+            except DykemastError as error:
+                _log.info('reclaim: not now: {}', error)
+
+    async def _look(self) -> None:
+        own = self._board.settings['instance']
+        for number in range(self._board.settings.get('budget_shards', 1)):
+            name = f'{PREFIX}{number}'
+            if self._keepers.find_keeper(name) == own:
+                await self._look_at(name)
+            else:
+                self._shards.pop(name, None)
+
+    async def _look_at(self, name: str) -> None:
+        shard = self._shards.setdefault(name, BudgetShard(self._platform, name))
+        await shard.load()
+        await self._read_incarnations(shard)
+        census = instance_list.take_census(
+            self._board.fleet,
+            self._board.settings.get('list_lag', 0),
+            time.monotonic(),
+        )
+        plans = reclaim.plan_reclaims(
+            shard.budgets, census, shard.reads, holder.LeaseTerms().arming_delay
+        )
+        if plans:
+            await self._keepers.commit(name, plans)
+        for plan in plans:
+            _log.warning(
+                'reclaim: {} of {}, {}.',
+                plan.holder,
+                plan.budget,
+                'in full' if plan.full else 'the armed part',
+            )
+
+    async def _read_incarnations(self, shard: BudgetShard) -> None:
+        instances = {
+            row.instance
+            for budget in shard.budgets.values()
+            for row in budget.rows.values()
+        }
+        known = self._board.fleet.incarnations
+        for name in instances:
+            stored = await self._platform.read(MEMBERS + name)
+            if stored.body:
+                known[name] = msgspec.json.decode(stored.body, type=str)
--- /dev/null
+++ b/src/dykemast/_internal/controllers/request_parts.py
@@ -0,0 +1,44 @@
+"""Parts that a request meets, put together."""
+
+import random
+
+from dykemast._internal.blackboard import Blackboard
+from dykemast._internal.controllers.bills import Bills
+from dykemast._internal.controllers.journal import Journal
+from dykemast._internal.controllers.keepers import Keepers
+from dykemast._internal.controllers.leases import Leases
+from dykemast._internal.controllers.lending import Lending
+from dykemast._internal.controllers.sessions import Sessions
+from dykemast._internal.operations.breaker import Breakers
+from dykemast._internal.operations.lease_book import Identity, LeaseBook
+from dykemast._internal.path.parts import Parts
+from dykemast._internal.path.turns import Turns
+
+
+def make_parts(
+    board: Blackboard,
+    sessions: Sessions,
+    keepers: Keepers,
+    chance: random.Random,
+) -> Parts:
+    """Make the parts.
+
+    :param board: the blackboard.
+    :param sessions: with everybody else.
+    :param keepers: way to the shards.
+    :param chance: source of randomness.
+    :returns: the parts.
+    """
+    settings = board.settings
+    book = LeaseBook(Identity(settings['instance'], board.incarnation))
+    journal = Journal(keepers, settings.get('journal_shards', 1))
+    return Parts(
+        board=board,
+        leases=Leases(book, keepers, settings.get('budget_shards', 1)),
+        lending=Lending(board, book, sessions.peers),
+        bills=Bills(board, journal, sessions.peers),
+        backends=sessions.backends,
+        breakers=Breakers(),
+        turns=Turns(),
+        chance=chance,
+    )
--- /dev/null
+++ b/src/dykemast/_internal/controllers/runtime.py
@@ -0,0 +1,107 @@
+"""All parts of a router put together, and its planned stop."""
+
+import asyncio
+import random
+from typing import Any, Final, NamedTuple
+
+import logbook
+
+from dykemast._internal.blackboard import Blackboard
+from dykemast._internal.controllers.assembly import Assembly, assemble
+from dykemast._internal.controllers.http_apis import open_listeners
+from dykemast._internal.exceptions import DykemastError
+from dykemast._internal.network.listeners import Listener
+from dykemast._internal.network.peer_server import open_server
+from dykemast._internal.path.background import wait_apart
+
+_log = logbook.Logger('router')
+
+_POLL: Final = 0.05
+#: Tries to give all leases back at a planned stop.
+CLOSE_TRIES: Final = 5
+
+
+class Runtime(NamedTuple):
+    """A router that runs.
+
+    :param assembly: its parts.
+    :param listeners: for callers and operators.
+    :param peers: server for other routers.
+    :param tasks: loops of the controllers.
+    """
+
+    assembly: Assembly
+    listeners: list[Listener]
+    peers: Any
+    tasks: list[asyncio.Task[None]]
+
+    async def stop(self, hasten: asyncio.Event) -> None:
+        """Stop without cutting off a request.
+
+        :param hasten: set when requests in progress may be cut off.
+        """
+        board = self.assembly.parts.board
+        board.traffic.leaving = True
+        await self.assembly.news.spread()
+        await _wait_until_unused(board, hasten)
+        for listener in self.listeners:
+            listener.should_exit = True
+        await wait_apart()
+        await self._give_back()
+        await self._close()
+
+    async def _give_back(self) -> None:
+        for attempt in range(CLOSE_TRIES):
+            try:
+                await self._write_last()
+            except DykemastError as error:
+                _log.warning('router: leases not back yet: {}', error)
+                await asyncio.sleep(attempt)
+            else:
+                return
+
+    async def _write_last(self) -> None:
+        await self.assembly.parts.bills.flush()
+        await self.assembly.parts.leases.close_all()
+
+    async def _close(self) -> None:
+        self.peers.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.assembly.keepers.close()
+        await self.assembly.sessions.close()
+
+
+async def open_runtime(board: Blackboard, chance: random.Random) -> Runtime:
+    """Start a router.
+
+    The address for other routers is bound first: that it could be bound
+    shows that the process before on this instance has ended.
+
+    :param board: the blackboard.
+    :param chance: source of randomness.
+    :returns: the running router.
+    """
+    settings = board.settings
+    assembly = assemble(board, chance)
+    peers = await open_server(
+        settings['host'],
+        settings['peer_port'],
+        settings['peer_key'],
+        assembly.list_peer_calls(),
+    )
+    tasks = [asyncio.create_task(loop()) for loop in assembly.list_loops()]
+    return Runtime(assembly, await open_listeners(assembly), peers, tasks)
+
+
+async def _wait_until_unused(board: Blackboard, hasten: asyncio.Event) -> None:
+    settings = board.settings
+    loop = asyncio.get_running_loop()
+    # Callers use kept entry answers for a while yet.
+    kept_until = loop.time() + settings.get('keep_entry', 0)
+    limit = kept_until + settings.get('drain_timeout', 0)
+    while loop.time() < limit and not hasten.is_set():
+        if loop.time() > kept_until and not board.traffic.inflight:
+            return
+        await asyncio.sleep(_POLL)
--- /dev/null
+++ b/src/dykemast/_internal/exceptions.py
@@ -0,0 +1,77 @@
+"""Errors of the program, in one tree.
+
+Each message says what happened, why, and what to do about it.
+"""
+
+from typing import NamedTuple
+
+
+class Finding(NamedTuple):
+    """One thing wrong in a file.
+
+    :param path: the file.
+    :param line: its line, from 1; 0 when unknown.
+    :param field: dotted path of the field.
+    :param text: what is wrong, and what would be right.
+    """
+
+    path: str
+    line: int
+    field: str
+    text: str
+
+    def __str__(self) -> str:
+        """Show as ``file:line: field: text``."""
+        return f'{self.path}:{self.line}: {self.field}: {self.text}'
+
+
+class DykemastError(Exception):
+    """Base of all errors that the program raises on purpose."""
+
+
+class InvalidFileError(DykemastError):
+    """A settings or configuration file has findings.
+
+    :param findings: all of them.
+    """
+
+    def __init__(self, findings: list[Finding]) -> None:
+        """Keep the findings."""
+        super().__init__('\n'.join(str(finding) for finding in findings))
+        self.findings = findings
+
+
+class PlatformError(DykemastError):
+    """A call to the platform's object API failed."""
+
+
+class VersionConflictError(PlatformError):
+    """The object has another version: nothing was written."""
+
+
+class PlatformAwayError(PlatformError):
+    """No answer: the write may or may not have taken effect."""
+
+
+class PeerError(DykemastError):
+    """A call to another router failed or was refused."""
+
+
+class UpstreamError(DykemastError):
+    """A backend server failed.
+
+    :param sent: whether any byte of the order may have reached it.
+    """
+
+    def __init__(self, text: str, *, sent: bool) -> None:
+        """Keep whether the order may have run."""
+        super().__init__(text)
+        self.sent = sent
+
+
+class AdminError(DykemastError):
+    """The administration API refused a command, or did not answer."""
+
+
+class StaleRevisionError(DykemastError):
+    """Another operator's configuration came first: read it and retry."""
--- /dev/null
+++ b/src/dykemast/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Pure data that the other parts pass to one another."""
--- /dev/null
+++ b/src/dykemast/_internal/models/requests.py
@@ -0,0 +1,122 @@
+"""Requests of callers, and refusals."""
+
+import enum
+from types import MappingProxyType
+from typing import Final, NamedTuple
+
+
+class Ran(enum.StrEnum):
+    """Whether a refused request ran."""
+
+    not_run = 'no'
+    did_run = 'yes'
+    unknown = 'unknown'
+
+
+class Code(enum.StrEnum):
+    """Why a request was refused; docs/api.md explains each."""
+
+    bad_request = 'bad_request'
+    bad_key = 'bad_key'
+    budget_empty = 'budget_empty'
+    budget_away = 'budget_away'
+    not_allowed = 'not_allowed'
+    not_found = 'not_found'
+    in_progress = 'in_progress'
+    may_have_run = 'may_have_run'
+    already_ran = 'already_ran'
+    too_large = 'too_large'
+    too_old = 'too_old'
+    policy_failed = 'policy_failed'
+    too_busy = 'too_busy'
+    upstream_failed = 'upstream_failed'
+    no_worker = 'no_worker'
+    not_ready = 'not_ready'
+    platform_away = 'platform_away'
+    too_late = 'too_late'
+
+
+#: HTTP status of each refusal.
+STATUSES: Final = MappingProxyType(
+    {
+        Code.bad_request: 422,
+        Code.bad_key: 401,
+        Code.budget_empty: 402,
+        Code.budget_away: 503,
+        Code.not_allowed: 403,
+        Code.not_found: 404,
+        Code.in_progress: 409,
+        Code.may_have_run: 409,
+        Code.already_ran: 409,
+        Code.too_large: 413,
+        Code.too_old: 409,
+        Code.policy_failed: 422,
+        Code.too_busy: 429,
+        Code.upstream_failed: 502,
+        Code.no_worker: 503,
+        Code.not_ready: 503,
+        Code.platform_away: 503,
+        Code.too_late: 504,
+    }
+)
+
+
+class Refusal(NamedTuple):
+    """A request that gets no answer of a backend server.
+
+    :param code: why.
+    :param text: what happened and what to do.
+    :param ran: whether it ran.
+    :param retry_after: seconds after which coming back may help; 0 for none.
+    """
+
+    code: Code
+    text: str
+    ran: Ran = Ran.not_run
+    retry_after: int = 0
+
+
+class Ask(NamedTuple):
+    """What a caller asks for, apart from the order itself.
+
+    :param request: id made by the router.
+    :param workspace: who asks.
+    :param key: idempotency key, the caller's or the request id.
+    :param repeatable: whether running it twice does no harm.
+    :param deadline: seconds on this router's clock by which to be done.
+    :param order: requests with the same non-empty key run in order.
+    """
+
+    request: str
+    workspace: str
+    key: str
+    repeatable: bool
+    deadline: float
+    order: str = ''
+
+
+class Order(NamedTuple):
+    """What is to be sent to a backend server.
+
+    :param service: which service.
+    :param model: which model, empty for a plain service.
+    :param path: path and query at the server.
+    :param method: HTTP method.
+    :param headers: end-to-end headers to pass on.
+    :param body: bytes to send.
+    :param bound: tokens it can consume at the most.
+    :param prompt_bound: part of the bound that is the prompt's.
+    :param prefix: hash of the prompt's leading part, for cache affinity.
+    :param priority: 0 to 9.
+    """
+
+    service: str
+    model: str
+    path: str
+    method: str
+    headers: dict[str, str]
+    body: bytes
+    bound: int
+    prompt_bound: int = 0
+    prefix: int = 0
+    priority: int = 5
--- /dev/null
+++ b/src/dykemast/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""All sessions with callers, peers, platform and backend servers."""
--- /dev/null
+++ b/src/dykemast/_internal/network/admin_client.py
@@ -0,0 +1,93 @@
+"""Calls of the administration API, for the command line."""
+
+import asyncio
+from typing import Any, Final, NamedTuple
+
+import aiohttp
+import msgspec
+
+from dykemast._internal.exceptions import (
+    AdminError,
+    Finding,
+    InvalidFileError,
+    StaleRevisionError,
+)
+
+#: Seconds to wait for an answer.
+CALL_TIMEOUT: Final = 15.0
+_CONFLICT: Final = 409
+_INVALID: Final = 422
+_OK: Final = 200
+
+
+class AdminAddress(NamedTuple):
+    """Where the administration API is, and the key to it.
+
+    :param url: without a path.
+    :param key: the operators' key.
+    """
+
+    url: str
+    key: str
+
+
+def call_admin(
+    address: AdminAddress,
+    method: str,
+    path: str,
+    fields: dict[str, Any] | None = None,
+) -> Any:
+    """Call the administration API.
+
+    :param address: where it is.
+    :param method: HTTP method.
+    :param path: path and query.
+    :param fields: JSON to send, if any.
+    :returns: the decoded answer.
+    :raises AdminError: when there is none, or it is a refusal.
+    :raises InvalidFileError: when what was sent has findings.
+    :raises StaleRevisionError: when another change came first.
+    """
+    return asyncio.run(_call(address, method, path, fields))
+
+
+async def _call(
+    address: AdminAddress,
+    method: str,
+    path: str,
+    fields: dict[str, Any] | None,
+) -> Any:
+    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT)
+    headers = {'authorization': f'Bearer {address.key}'}
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        call = session.request(
+            method, address.url + path, json=fields, headers=headers
+        )
+        try:
+            async with call as response:
+                return _decode(response.status, await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise AdminError(_explain(address, error)) from error
+
+
+def _explain(address: AdminAddress, error: Exception) -> str:
+    return (
+        f'no answer from {address.url} ({type(error).__name__}). '
+        'Is a router running there? Set --admin or DYKEMAST_ADMIN.'
+    )
+
+
+def _decode(status: int, body: bytes) -> Any:
+    try:
+        fields = msgspec.json.decode(body)
+    except msgspec.MsgspecError as error:
+        raise AdminError(f'the answer ({status}) is no JSON.') from error
+    if status == _OK:
+        return fields
+    if status == _INVALID and 'findings' in fields:
+        raise InvalidFileError(
+            [Finding(**finding) for finding in fields['findings']]
+        )
+    text = fields.get('error', {}).get('message', 'no reason given.')
+    kind = StaleRevisionError if status == _CONFLICT else AdminError
+    raise kind(f'refused ({status}): {text}')
--- /dev/null
+++ b/src/dykemast/_internal/network/backends.py
@@ -0,0 +1,151 @@
+"""Sessions with backend servers (docs/backend-servers.md)."""
+
+import time
+from typing import Any, Final
+
+import aiohttp
+import msgspec
+
+from dykemast._internal.exceptions import UpstreamError
+from dykemast._internal.models.fleet import Instance, LoadReport
+from dykemast._internal.models.requests import Ask, Order
+
+#: Seconds to wait for a connection.
+CONNECT_TIMEOUT: Final = 1.0
+#: Seconds without a byte after which a server counts as stuck.
+STALL_TIMEOUT: Final = 30.0
+#: Seconds to wait for a load report.
+LOAD_TIMEOUT: Final = 1.0
+#: Connections to all backend servers together, at most.
+MAX_CONNECTIONS: Final = 4096
+#: Answers by which a server says that it did not start the order.
+_NOT_STARTED: Final = frozenset((429, 503))
+_SERVER_ERROR: Final = 500
+_LOAD_FAILURES: Final = (
+    aiohttp.ClientError,
+    msgspec.MsgspecError,
+    TimeoutError,
+    OSError,
+)
+
+
+class Backends:
+    """Connections to backend servers.
+
+    Orders that may not be repeated get a connection of their own: on a
+    pooled one that the server has closed the library sends some methods a
+    second time by itself.
+    """
+
+    def __init__(self) -> None:
+        """Open no connection yet."""
+        self._pooled: aiohttp.ClientSession | None = None
+        self._single: aiohttp.ClientSession | None = None
+
+    async def send(
+        self,
+        instance: Instance,
+        order: Order,
+        ask: Ask,
+    ) -> aiohttp.ClientResponse:
+        """Send an order and wait for the head of the answer.
+
+        :param instance: the backend server.
+        :param order: what to send.
+        :param ask: whose order it is.
+        :returns: the answer; its body is still to be read.
+        :raises UpstreamError: when there is none, or not to this order.
+        """
+        session = self._choose_session(repeatable=ask.repeatable)
+        try:
+            response = await session.request(
+                order.method,
+                f'http://{instance.host}:{instance.port}{order.path}',
+                data=order.body or None,
+                headers=_make_headers(order, ask),
+                allow_redirects=False,
+            )
+        except aiohttp.ClientConnectorError as error:
+            raise UpstreamError(str(error), sent=False) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            text = f'{instance.name}: {type(error).__name__} {error}'
+            raise UpstreamError(text, sent=True) from error
+        return _check_head(response, ask)
+
+    async def read_load(self, instance: Instance) -> LoadReport:
+        """Read a worker's load report.
+
+        :param instance: the worker.
+        :returns: its load.
+        :raises UpstreamError: when it gave none.
+        """
+        url = f'http://{instance.host}:{instance.port}/load'
+        timeout = aiohttp.ClientTimeout(total=LOAD_TIMEOUT)
+        call = self._choose_session(repeatable=True).get(url, timeout=timeout)
+        try:
+            fields = await _read_fields(call)
+        except _LOAD_FAILURES as error:
+            raise UpstreamError(str(error), sent=True) from error
+        return LoadReport(
+            running=int(fields.get('running', 0)),
+            waiting=int(fields.get('waiting', 0)),
+            models=tuple(fields.get('models', ())),
+            at=time.monotonic(),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for session in (self._pooled, self._single):
+            if session:
+                await session.close()
+
+    def _choose_session(self, *, repeatable: bool) -> aiohttp.ClientSession:
+        if self._pooled is None or self._single is None:
+            self._pooled = _open_session(force_close=False)
+            self._single = _open_session(force_close=True)
+        return self._pooled if repeatable else self._single
+
+
+async def _read_fields(call: Any) -> dict[str, Any]:
+    async with call as response:
+        body = await response.read()
+    return msgspec.json.decode(body, type=dict[str, Any])
+
+
+def _make_headers(order: Order, ask: Ask) -> dict[str, str]:
+    return {
+        **order.headers,
+        'x-request-id': ask.request,
+        'idempotency-key': ask.key,
+        'x-priority': str(order.priority),
+    }
+
+
+def _open_session(*, force_close: bool) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=MAX_CONNECTIONS, force_close=force_close
+        ),
+        timeout=aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CONNECT_TIMEOUT,
+            sock_read=STALL_TIMEOUT,
+        ),
+        auto_decompress=False,
+    )
+
+
+def _check_head(
+    response: aiohttp.ClientResponse,
+    ask: Ask,
+) -> aiohttp.ClientResponse:
+    echoed = response.headers.get('x-request-id', ask.request)
+    if echoed != ask.request:
+        response.close()
+        text = f'answer to {echoed} instead of {ask.request}.'
+        raise UpstreamError(text, sent=True)
+    if response.status >= _SERVER_ERROR or response.status in _NOT_STARTED:
+        response.close()
+        text = f'backend server answered {response.status}.'
+        raise UpstreamError(text, sent=response.status not in _NOT_STARTED)
+    return response
--- /dev/null
+++ b/src/dykemast/_internal/network/journal_ledger.py
@@ -0,0 +1,132 @@
+"""Journal shards: runs of segment objects that hold claims and bills.
+
+Only the last segment is open. It is sealed by a conditional update before
+its successor is made, so a writer that slept through a hand-over fails on
+its next write instead of writing beside its successor.
+"""
+
+from typing import Final, NamedTuple
+
+import msgspec
+
+from dykemast._internal.models.journal import Entry, Segment
+from dykemast._internal.network.platform import Platform
+from dykemast._internal.operations.group_commit import Ledger, Merge
+from dykemast._internal.operations.journal_merge import (
+    Record,
+    add_entry,
+    merge_batch,
+)
+
+#: Start of the names of segments.
+PREFIX: Final = 'journal/'
+#: A segment is sealed when its entries are larger than this, in bytes.
+SEGMENT_BYTES: Final = 65536
+
+
+class Tail(NamedTuple):
+    """The open segment of a shard.
+
+    :param number: its place in the run.
+    :param version: version of its object; 0 when it does not exist yet.
+    :param entries: what it holds.
+    """
+
+    number: int = 0
+    version: int = 0
+    entries: tuple[Entry, ...] = ()
+
+
+class JournalShard:
+    """One shard as its writer knows it.
+
+    :param platform: session with the platform.
+    :param name: name of the shard, start of its segments' names.
+    """
+
+    def __init__(self, platform: Platform, name: str) -> None:
+        """Start with nothing read."""
+        self.records: dict[str, Record] = {}
+        self._platform = platform
+        self._name = name
+        self._tail = Tail()
+        self._next = 0
+        self._sealed: set[str] = set()
+
+    async def load(self) -> None:
+        """Read the segments that are not known yet.
+
+        :raises PlatformError: when one could not be read.
+        """
+        self._tail = Tail(self._next)
+        listed = await self._platform.list_objects(f'{self._name}/')
+        for one in listed:
+            if one.name not in self._sealed:
+                await self._load_segment(one.name)
+
+    def merge(self, batch: list[Entry]) -> Merge:
+        """Merge entries with the shard as read.
+
+        :param batch: the entries.
+        :returns: answers, and how to write what is new.
+        """
+        merged = merge_batch(self.records, batch)
+
+        async def save() -> None:
+            await self._append(merged.fresh)
+
+        return Merge(bool(merged.fresh), merged.acks, save)
+
+    async def _load_segment(self, name: str) -> None:
+        stored = await self._platform.read(name)
+        segment = decode_segment(stored.body)
+        for entry in segment.entries:
+            add_entry(self.records, entry)
+        self._tail = Tail(_read_number(name))
+        self._note_written(name, segment, stored.version)
+
+    async def _append(self, fresh: list[Entry]) -> None:
+        segment = Segment([*self._tail.entries, *fresh])
+        if _measure(segment) > SEGMENT_BYTES:
+            segment = segment._replace(sealed=True)
+        name = '{}/{:08d}'.format(self._name, self._tail.number)
+        body = msgspec.json.encode(segment)
+        version = await self._platform.write(name, body, self._tail.version)
+        self._note_written(name, segment, version)
+        for entry in fresh:
+            add_entry(self.records, entry)
+
+    def _note_written(self, name: str, segment: Segment, version: int) -> None:
+        number = self._tail.number
+        if segment.sealed:
+            self._sealed.add(name)
+            self._next = number + 1
+            self._tail = Tail(self._next)
+        else:
+            self._tail = Tail(number, version, tuple(segment.entries))
+
+
+def _read_number(name: str) -> int:
+    return int(name.rsplit('/', 1)[1])
+
+
+def _measure(segment: Segment) -> int:
+    return len(msgspec.json.encode(segment))
+
+
+def decode_segment(body: bytes) -> Segment:
+    """Read the value of a segment's object.
+
+    :param body: the value.
+    :returns: the segment.
+    """
+    return msgspec.json.decode(body, type=Segment) if body else Segment([])
+
+
+def make_ledger(shard: JournalShard) -> Ledger:
+    """Describe a shard for the group commit.
+
+    :param shard: the shard.
+    :returns: how to load and merge it.
+    """
+    return Ledger(shard.load, shard.merge)
--- /dev/null
+++ b/src/dykemast/_internal/network/listeners.py
@@ -0,0 +1,55 @@
+"""HTTP listeners of a router."""
+
+import asyncio
+import contextlib
+from typing import Any, Final
+
+import uvicorn
+from starlette.applications import Starlette
+
+#: Seconds after which an idle connection of a caller is closed.
+KEEP_ALIVE: Final = 30
+#: Seconds that are waited for a listener to open.
+OPEN_TIMEOUT: Final = 10.0
+_POLL: Final = 0.01
+
+
+class Listener(uvicorn.Server):
+    """Server that leaves signals to the router."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Any:
+        """Capture none."""
+        yield
+
+
+async def open_listener(app: Starlette, host: str, port: int) -> Listener:
+    """Listen for HTTP requests.
+
+    :param app: what to serve.
+    :param host: IP number to listen on.
+    :param port: port to listen on.
+    :returns: the listener.
+    :raises OSError: when the address is in use.
+    """
+    listener = Listener(
+        uvicorn.Config(
+            app,
+            host=host,
+            port=port,
+            # uvloop would use io_uring, which the users do not allow.
+            loop='asyncio',
+            lifespan='off',
+            access_log=False,
+            log_level='error',
+            timeout_keep_alive=KEEP_ALIVE,
+            server_header=False,
+        )
+    )
+    task = asyncio.create_task(listener.serve())
+    async with asyncio.timeout(OPEN_TIMEOUT):
+        while not listener.started:
+            if task.done():
+                raise OSError(f'{host}:{port} could not be opened.')
+            await asyncio.sleep(_POLL)
+    return listener
--- /dev/null
+++ b/src/dykemast/_internal/network/peer_client.py
@@ -0,0 +1,93 @@
+"""Calls to other routers.
+
+A connection carries one call at a time and is closed after any failure: the
+library's client would hand a late answer to the next call (seen in a trial).
+"""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any, Final
+
+from thriftpy2.contrib.aio.rpc import make_client
+from thriftpy2.thrift import TException
+
+from dykemast._internal.exceptions import PeerError
+from dykemast._internal.models.fleet import PeerCard
+from dykemast._internal.network.peer_codec import peer_thrift
+
+#: Idle connections kept for each peer at most.
+MAX_IDLE: Final = 4
+_FAILURES: Final = (TException, OSError, EOFError, asyncio.TimeoutError)
+
+
+class PeerClient:
+    """Pooled connections to the other routers.
+
+    :param key: secret that all routers share.
+    """
+
+    def __init__(self, key: str) -> None:
+        """Open no connection yet."""
+        self._key = key
+        self._idle: dict[str, list[Any]] = {}
+
+    async def call(
+        self,
+        card: PeerCard,
+        method: str,
+        words: Sequence[Any],
+        timeout: float = 1,
+    ) -> Any:
+        """Call another router.
+
+        :param card: the router.
+        :param method: name of the call in the interface definition.
+        :param words: its arguments after the key.
+        :param timeout: seconds to wait.
+        :returns: the answer.
+        :raises PeerError: when there was none, or it was refused.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._exchange(card, method, words)
+        except _FAILURES as error:
+            kind = type(error).__name__
+            text = f'{card.instance}: {method} failed: {kind} {error}.'
+            raise PeerError(text) from error
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for clients in self._idle.values():
+            for client in clients:
+                client.close()
+        self._idle.clear()
+
+    async def _exchange(
+        self,
+        card: PeerCard,
+        method: str,
+        words: Sequence[Any],
+    ) -> Any:
+        client = await self._take(card)
+        try:
+            answer = await getattr(client, method)(self._key, *words)
+        except BaseException:
+            client.close()
+            raise
+        self._give_back(card, client)
+        return answer
+
+    async def _take(self, card: PeerCard) -> Any:
+        idle = self._idle.setdefault(card.incarnation, [])
+        if idle:
+            return idle.pop()
+        return await make_client(
+            peer_thrift.Peer, card.host, card.peer_port, timeout=None
+        )
+
+    def _give_back(self, card: PeerCard, client: Any) -> None:
+        idle = self._idle.setdefault(card.incarnation, [])
+        if len(idle) < MAX_IDLE:
+            idle.append(client)
+        else:
+            client.close()
--- /dev/null
+++ b/src/dykemast/_internal/network/peer_codec.py
@@ -0,0 +1,38 @@
+"""Peer cards as thrift structs and back."""
+
+from importlib import resources
+from typing import Any, Final
+
+import thriftpy2
+
+from dykemast._internal.blackboard import PeerView
+from dykemast._internal.models.fleet import PeerCard
+
+_IDL: Final = resources.files(__package__) / 'peer.thrift'
+
+
+def _load_idl() -> Any:
+    with _IDL.open() as source:
+        return thriftpy2.load_fp(source, 'peer_thrift')
+
+
+#: Module made from the interface definition.
+peer_thrift: Final = _load_idl()
+
+
+def pack_view(view: PeerView) -> Any:
+    """Make a thrift struct of a peer's card.
+
+    :param view: the card and its heartbeat count.
+    :returns: a ``Card``.
+    """
+    return peer_thrift.Card(beat=view.beat, **view.card._asdict())
+
+
+def unpack_card(card: Any) -> PeerCard:
+    """Read a peer's card from its thrift struct.
+
+    :param card: a ``Card``.
+    :returns: the card, without the heartbeat count.
+    """
+    return PeerCard(**{name: getattr(card, name) for name in PeerCard._fields})
--- /dev/null
+++ b/src/dykemast/_internal/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions, free of input and output."""
--- /dev/null
+++ b/src/dykemast/_internal/operations/budget_shard.py
@@ -0,0 +1,92 @@
+"""Rules by which a budget changes when an intent reaches it.
+
+The functions are pure, and applying an intent twice is the same as once, so
+that a write whose answer was lost is simply made again. The invariant that
+carries "no overspend" is checked by :func:`check_budget`:
+``closed + sum(allotted) <= paid``.
+"""
+
+from typing import NamedTuple
+
+from dykemast._internal.models.budgets import (
+    REMEMBERED_TOPUPS,
+    Budget,
+    BudgetAck,
+    BudgetIntent,
+    LeaseIntent,
+    LeaseRow,
+    ReclaimIntent,
+    TopupIntent,
+)
+from dykemast._internal.operations.budget_counts import (
+    answer_holder,
+)
+from dykemast._internal.operations.lease_grant import (
+    find_target,
+    grant_lease,
+)
+
+
+class Applied(NamedTuple):
+    """A budget after an intent, and the answer to it.
+
+    :param budget: the new state; the same object when nothing changed.
+    :param ack: the answer.
+    """
+
+    budget: Budget
+    ack: BudgetAck
+
+
+def apply_intent(budget: Budget, intent: BudgetIntent) -> Applied:
+    """Apply one intent.
+
+    :param budget: the state before.
+    :param intent: what is asked.
+    :returns: the state after, and the answer.
+    """
+    if isinstance(intent, TopupIntent):
+        changed = _add_topup(budget, intent)
+        return Applied(changed, answer_holder(changed, ''))
+    if isinstance(intent, ReclaimIntent):
+        changed = _reclaim(budget, intent)
+        return Applied(changed, answer_holder(changed, intent.holder))
+    row = budget.rows.get(intent.holder)
+    if _is_stale(row, intent):
+        return Applied(budget, answer_holder(budget, intent.holder))
+    if intent.closing:
+        changed = _close(budget, intent.holder, intent.spent)
+        return Applied(changed, answer_holder(changed, intent.holder))
+    granted = grant_lease(budget, intent)
+    target = find_target(granted, intent)
+    return Applied(granted, answer_holder(granted, intent.holder, target))
+
+
+def _is_stale(row: LeaseRow | None, intent: LeaseIntent) -> bool:
+    # A row that is gone was closed: only a first intent may open one. Were a
+    # late copy of a later intent to open it again, a closed lease would live.
+    if row is None:
+        return intent.seq > 1
+    return row.seq >= intent.seq
+
+
+def _add_topup(budget: Budget, intent: TopupIntent) -> Budget:
+    if intent.topup in budget.topups:
+        return budget
+    known = (*budget.topups, intent.topup)[-REMEMBERED_TOPUPS:]
+    return budget._replace(paid=budget.paid + intent.tokens, topups=known)
+
+
+def _close(budget: Budget, holder: str, charge: int) -> Budget:
+    rows = {**budget.rows}
+    rows.pop(holder, None)
+    return budget._replace(rows=rows, closed=budget.closed + charge)
+
+
+def _reclaim(budget: Budget, intent: ReclaimIntent) -> Budget:
+    row = budget.rows.get(intent.holder)
+    if row is None or row.seq != intent.seq:
+        return budget
+    charge = row.allotted if intent.full else row.armed
+    closed = _close(budget, intent.holder, charge)
+    return closed._replace(doubtful=budget.doubtful + charge - row.spent)
--- /dev/null
+++ b/src/dykemast/_internal/operations/instance_list.py
@@ -0,0 +1,52 @@
+"""What the platform's list, which lags, shows about instances."""
+
+from typing import Final
+
+from dykemast._internal.blackboard import Fleet
+from dykemast._internal.models.fleet import Instance, InstanceState
+from dykemast._internal.operations.reclaim import Census
+
+#: Role that routers have in the platform's list.
+ROUTER_ROLE: Final = 'router'
+
+
+def note_list(fleet: Fleet, listed: list[Instance], now: float) -> None:
+    """Take in the platform's list.
+
+    An instance that was listed and no longer is has been ended: ids are
+    never given out twice. One that was never listed may just be new.
+
+    :param fleet: section of the blackboard, changed in place.
+    :param listed: the list.
+    :param now: seconds before it was asked for.
+    """
+    names = {instance.name for instance in listed}
+    for before in fleet.instances:
+        if before.name not in names:
+            fleet.missing_since.setdefault(before.name, now)
+    for name in names:
+        fleet.missing_since.pop(name, None)
+    fleet.leaving.update(
+        instance.name
+        for instance in listed
+        if instance.state == InstanceState.leaving
+    )
+    fleet.leaving &= names
+    fleet.instances = listed
+    fleet.listed_at = now
+
+
+def take_census(fleet: Fleet, lag: float, now: float) -> Census:
+    """Gather what shows that processes have ended.
+
+    :param fleet: section of the blackboard.
+    :param lag: seconds by which the platform's list lags at most.
+    :param now: seconds.
+    :returns: the evidence.
+    """
+    gone = frozenset(
+        name
+        for name, since in fleet.missing_since.items()
+        if fleet.listed_at - since >= lag
+    )
+    return Census(gone, dict(fleet.incarnations), now)
--- /dev/null
+++ b/src/dykemast/_internal/operations/journal_merge.py
@@ -0,0 +1,90 @@
+"""Which of two attempts under one key stands: the first to be written.
+
+Appending is idempotent: a copy of an entry that stands is answered as ours,
+so a write whose answer was lost is simply made again.
+"""
+
+from typing import NamedTuple
+
+from dykemast._internal.models.journal import (
+    Entry,
+    EntryKind,
+    JournalAck,
+    Verdict,
+)
+
+
+class Record(NamedTuple):
+    """What stands under one key.
+
+    :param claim: the first claim, if any.
+    :param finish: the first outcome, if any.
+    """
+
+    claim: Entry | None = None
+    finish: Entry | None = None
+
+
+class Merged(NamedTuple):
+    """Result of merging a batch.
+
+    :param fresh: entries that have to be written, in order.
+    :param acks: an answer for each entry of the batch.
+    """
+
+    fresh: list[Entry]
+    acks: list[JournalAck]
+
+
+def add_entry(records: dict[str, Record], entry: Entry) -> None:
+    """Put a written entry into the index.
+
+    :param records: the index, changed in place.
+    :param entry: what was written.
+    """
+    record = records.get(entry.key, Record())
+    if entry.kind == EntryKind.claimed:
+        records[entry.key] = record._replace(claim=record.claim or entry)
+    else:
+        records[entry.key] = record._replace(finish=record.finish or entry)
+
+
+def merge_batch(records: dict[str, Record], batch: list[Entry]) -> Merged:
+    """Decide which entries of a batch stand.
+
+    :param records: index of what is written; not changed.
+    :param batch: entries to append, in order.
+    :returns: what to write, and the answers.
+    """
+    overlay: dict[str, Record] = {}
+    merged = Merged([], [])
+    for entry in batch:
+        overlay.setdefault(entry.key, records.get(entry.key, Record()))
+        ack = judge_entry(overlay[entry.key], entry)
+        merged.acks.append(ack)
+        if ack.entry is entry:
+            add_entry(overlay, entry)
+            merged.fresh.append(entry)
+    return merged
+
+
+def judge_entry(record: Record, entry: Entry) -> JournalAck:
+    """Decide whether one entry stands.
+
+    :param record: what stands under its key.
+    :param entry: what is to be appended.
+    :returns: the verdict, and the entry that stands.
+    """
+    if record.finish:
+        return _compare(record.finish, entry, Verdict.finished)
+    if record.claim and record.claim.run != entry.run:
+        return JournalAck(Verdict.claimed, record.claim)
+    if record.claim and entry.kind == EntryKind.claimed:
+        return JournalAck(Verdict.ours, record.claim)
+    return JournalAck(Verdict.ours, entry)
+
+
+def _compare(standing: Entry, entry: Entry, otherwise: Verdict) -> JournalAck:
+    # A claim that comes after its own outcome is a late copy.
+    same = standing.run == entry.run
+    return JournalAck(Verdict.ours if same else otherwise, standing)
--- /dev/null
+++ b/src/dykemast/_internal/operations/lease_book.py
@@ -0,0 +1,133 @@
+"""Leases of one router, by budget, and which of them to renew now."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from dykemast._internal.models.budgets import BudgetAck, LeaseIntent
+from dykemast._internal.operations.lease_renewal import is_due, is_idle
+from dykemast._internal.operations.holder import (
+    Holder,
+    HolderId,
+    LeaseTerms,
+)
+
+
+class Identity(NamedTuple):
+    """Who leases.
+
+    :param instance: platform id of the instance.
+    :param incarnation: random id of the process.
+    """
+
+    instance: str
+    incarnation: str
+
+
+class LeaseBook:
+    """Holders of one router by budget.
+
+    :param identity: who leases.
+    """
+
+    def __init__(self, identity: Identity) -> None:
+        """Start with no lease."""
+        self.holders: dict[str, Holder] = {}
+        self._identity = identity
+        self._serial = 0
+        self._closing: dict[str, LeaseIntent] = {}
+
+    def open_holder(
+        self,
+        budget: str,
+        terms: LeaseTerms,
+        now: float,
+    ) -> Holder:
+        """Find the holder of a budget, or make one.
+
+        :param budget: name of the budget.
+        :param terms: settings for a new one.
+        :param now: seconds.
+        :returns: the holder; never one that is being given back.
+        """
+        holder = self.holders.get(budget)
+        if holder is None or holder.lease.closed:
+            self._serial += 1
+            incarnation = self._identity.incarnation
+            serial = f'{incarnation}/{self._serial}'
+            owner = HolderId(budget, serial, self._identity.instance)
+            holder = Holder(owner, terms, now)
+            self.holders[budget] = holder
+        return holder
+
+    def plan_renewals(
+        self,
+        belongs: Callable[[str], bool],
+        now: float,
+        seen: int,
+    ) -> list[LeaseIntent]:
+        """Find what is to be sent for some budgets now.
+
+        :param belongs: tells whether a budget is of the shard.
+        :param now: seconds.
+        :param seen: newest known version of that shard.
+        :returns: intents, closings that are not answered yet among them.
+        """
+        plans = [
+            plan for plan in self._closing.values() if belongs(plan.budget)
+        ]
+        for budget, holder in list(self.holders.items()):
+            if belongs(budget) and not holder.lease.closed:
+                plans.extend(self._plan_holder(holder, now, seen))
+        return plans
+
+    def take_ack(self, ack: BudgetAck, now: float) -> None:
+        """Take in the answer to an intent.
+
+        :param ack: the answer.
+        :param now: seconds.
+        """
+        if ack.seq == 0:
+            self._closing.pop(ack.holder, None)
+        holder = self.holders.get(ack.budget)
+        if holder is None or holder.owner.holder != ack.holder:
+            return
+        if ack.seq == 0:
+            # The row is gone: given back, or taken back as dead.
+            holder.lease.closed = True
+            self.holders.pop(ack.budget)
+            return
+        holder.lease.take_ack(ack, now)
+
+    def close_all(self, now: float, seen: int) -> None:
+        """Give back all leases that are not in use.
+
+        :param now: seconds.
+        :param seen: newest shard version known; 0 is always right.
+        """
+        for holder in list(self.holders.values()):
+            self._start_close(holder, now, seen)
+
+    def _plan_holder(
+        self,
+        holder: Holder,
+        now: float,
+        seen: int,
+    ) -> list[LeaseIntent]:
+        if is_idle(holder, now):
+            closing = self._start_close(holder, now, seen)
+            return [closing] if closing else []
+        if not is_due(holder, now):
+            return []
+        return [holder.plan_intent(now, seen)]
+
+    def _start_close(
+        self,
+        holder: Holder,
+        now: float,
+        seen: int,
+    ) -> LeaseIntent | None:
+        plan = holder.plan_close(now, seen)
+        if plan:
+            self._closing[holder.owner.holder] = plan
+            self.holders.pop(holder.owner.budget, None)
+        return plan
--- /dev/null
+++ b/src/dykemast/_internal/operations/policy_check.py
@@ -0,0 +1,68 @@
+"""Check a policy before it is accepted: compile it, then try it."""
+
+from typing import Any, Final
+
+from dykemast._internal.models.revisions import Configuration, PolicySpec
+from dykemast._internal.operations.expressions import (
+    PolicyError,
+    compile_expression,
+)
+from dykemast._internal.operations.policies import decide
+
+#: Expressions that a policy may have.
+EXPRESSIONS: Final = frozenset(('allow', 'models', 'budgets', 'priority'))
+_SAMPLE_BYTES: Final = 100
+_SAMPLE_TOKENS: Final = 1000
+
+
+def try_policy(
+    policy: PolicySpec,
+    configuration: Configuration,
+) -> list[PolicyError]:
+    """Compile a policy and run it once on an ordinary request.
+
+    :param policy: its expressions.
+    :param configuration: the rest of the configuration.
+    :returns: what is wrong.
+    """
+    texts: dict[str, Any] = dict(policy)
+    failures = []
+    for field in sorted(EXPRESSIONS & texts.keys()):
+        failures.extend(_compile(field, texts[field]))
+    if failures:
+        return failures
+    try:
+        decide(policy, make_sample(configuration), 'sample')
+    except PolicyError as error:
+        return [PolicyError(error.field, f'on a sample request: {error}')]
+    return []
+
+
+def make_sample(configuration: Configuration) -> dict[str, Any]:
+    """Make what a policy sees of an ordinary request.
+
+    :param configuration: whose models are shown.
+    :returns: values of ``request``, ``budget`` and ``fleet``.
+    """
+    counts = {model['name']: 1 for model in configuration['models']}
+    request = {
+        'model': 'sample',
+        'method': 'POST',
+        'stream': True,
+        'repeatable': True,
+        'bytes': _SAMPLE_BYTES,
+    }
+    budget = {'unspent': _SAMPLE_TOKENS, 'paid': _SAMPLE_TOKENS}
+    return {
+        'request': request,
+        'budget': {'main': budget},
+        'fleet': {'workers': counts},
+    }
+
+
+def _compile(field: str, text: str) -> list[PolicyError]:
+    try:
+        compile_expression(field, text)
+    except PolicyError as error:
+        return [error]
+    return []
--- /dev/null
+++ b/src/dykemast/_internal/path/__init__.py
@@ -0,0 +1,1 @@
+"""Way of one request: entry, admission, hold, claim, route, relay, bill."""
--- /dev/null
+++ b/src/dykemast/_internal/path/admission.py
@@ -0,0 +1,130 @@
+"""Who asks, for what, and whether there is room for another request."""
+
+import time
+from typing import Final
+
+from starlette.datastructures import Headers
+from starlette.requests import Request
+
+from dykemast._internal.blackboard import Blackboard
+from dykemast._internal.models.requests import Ask, Code, Refusal
+from dykemast._internal.models.revisions import Configuration, WorkspaceSpec
+from dykemast._internal.path.parts import RefusedError
+from dykemast._internal.utils.keys import hash_bearer, is_same
+
+#: Requests of one workspace in progress at one router, where not set.
+DEFAULT_CONCURRENT: Final = 512
+#: Requests in progress at one router at most.
+MAX_INFLIGHT: Final = 4096
+#: Seconds that a request may take when it names no deadline, and at most.
+MAX_DEADLINE: Final = 600.0
+#: Seconds after which a caller that was refused for load should come back.
+BUSY_RETRY: Final = 2
+#: Seconds after which a router that just started should be ready.
+READY_RETRY: Final = 3
+_MAX_KEY: Final = 200
+
+
+def find_configuration(board: Blackboard) -> Configuration:
+    """Find the configuration in force.
+
+    :param board: the blackboard.
+    :returns: the configuration.
+    :raises RefusedError: when there is none yet.
+    """
+    if board.rules.revision is None:
+        text = 'No configuration is in force yet.'
+        raise RefusedError(
+            Refusal(Code.not_ready, text, retry_after=READY_RETRY)
+        )
+    return board.rules.revision.configuration
+
+
+def find_workspace(board: Blackboard, headers: Headers) -> WorkspaceSpec:
+    """Find whose key a request carries.
+
+    :param board: the blackboard.
+    :param headers: of the request.
+    :returns: the workspace.
+    :raises RefusedError: when there is none.
+    """
+    digest = hash_bearer(headers)
+    found = None
+    for workspace in find_configuration(board)['workspaces']:
+        # All are compared, so that the time taken tells nothing.
+        if is_same(digest, workspace['key_sha256']):
+            found = workspace
+    if found is None:
+        text = 'No workspace has this key; send "Authorization: Bearer KEY".'
+        raise RefusedError(Refusal(Code.bad_key, text))
+    return found
+
+
+def make_ask(workspace: str, request: Request, *, safe: bool) -> Ask:
+    """Read what the headers ask for.
+
+    :param workspace: who asks.
+    :param request: the caller's request, with the id given to it.
+    :param safe: whether it may be repeated unless marked otherwise.
+    :returns: the request.
+    :raises RefusedError: when a header makes no sense.
+    """
+    headers = request.headers
+    name = request.state.request_id
+    key = headers.get('idempotency-key', name)
+    order = headers.get('x-order-key', '')
+    if not _is_key(key) or not _is_key(order):
+        text = f'Idempotency-Key and X-Order-Key take {_MAX_KEY} characters.'
+        raise RefusedError(Refusal(Code.bad_request, text))
+    return Ask(
+        request=name,
+        workspace=workspace,
+        key=key,
+        repeatable=_read_repeatable(headers, safe=safe),
+        deadline=time.monotonic() + _read_deadline(headers),
+        order=f'{workspace}|{order}' if order else '',
+    )
+
+
+def check_room(board: Blackboard, workspace: WorkspaceSpec) -> None:
+    """Check that one more request may run.
+
+    :param board: the blackboard.
+    :param workspace: who asks.
+    :raises RefusedError: when too many are in progress.
+    """
+    traffic = board.traffic
+    if traffic.inflight >= MAX_INFLIGHT:
+        text = 'This router is full; ask /v1/entry for others.'
+        raise RefusedError(Refusal(Code.too_busy, text, retry_after=BUSY_RETRY))
+    limit = workspace.get('concurrent', DEFAULT_CONCURRENT)
+    if traffic.by_workspace.get(workspace['name'], 0) >= limit:
+        text = f'The workspace has {limit} requests in progress here.'
+        raise RefusedError(Refusal(Code.too_busy, text, retry_after=BUSY_RETRY))
+
+
+def _is_key(text: str) -> bool:
+    return len(text) <= _MAX_KEY and text.isprintable()
+
+
+def _read_repeatable(headers: Headers, *, safe: bool) -> bool:
+    mark = headers.get('x-repeatable', '').lower()
+    if mark not in {'', 'yes', 'no'}:
+        text = 'X-Repeatable is "yes" or "no".'
+        raise RefusedError(Refusal(Code.bad_request, text))
+    return mark == 'yes' or (not mark and safe)
+
+
+def _read_deadline(headers: Headers) -> float:
+    text = headers.get('x-deadline', str(MAX_DEADLINE))
+    try:
+        seconds = float(text)
+    except ValueError as error:
+        refusal = Refusal(Code.bad_request, 'X-Deadline is in seconds.')
+        raise RefusedError(refusal) from error
+    if not 0 < seconds <= MAX_DEADLINE:
+        refusal = Refusal(
+            Code.bad_request, f'X-Deadline is 0 to {MAX_DEADLINE} seconds.'
+        )
+        raise RefusedError(refusal)
+    return seconds
--- /dev/null
+++ b/src/dykemast/_internal/path/chat.py
@@ -0,0 +1,89 @@
+"""Chat completions: from the caller's bytes to the begun answer."""
+
+from typing import Any
+
+import logbook
+from starlette.requests import Request
+from starlette.responses import Response
+
+from dykemast._internal.models.requests import Code, Order, Refusal
+from dykemast._internal.models.revisions import Configuration, WorkspaceSpec
+from dykemast._internal.path import admission, choices, orders, routes
+from dykemast._internal.path.chat_answers import (
+    Exchange,
+    answer_stream,
+    answer_whole,
+)
+from dykemast._internal.path.chat_bodies import read_chat
+from dykemast._internal.path.jobs import Job
+from dykemast._internal.path.parts import Parts, RefusedError
+
+_log = logbook.Logger('policy')
+
+
+async def serve_chat(parts: Parts, request: Request, body: bytes) -> Response:
+    """Serve one chat completion.
+
+    :param parts: parts of the router.
+    :param request: the caller's request.
+    :param body: its body.
+    :returns: the answer, streamed or whole.
+    :raises RefusedError: when it is refused.
+    """
+    workspace = admission.find_workspace(parts.board, request.headers)
+    ask = admission.make_ask(workspace['name'], request, safe=True)
+    fields = read_chat(body)
+    admission.check_room(parts.board, workspace)
+    job = Job(parts, ask)
+    try:
+        exchange = await _begin(parts, job, fields, workspace)
+    except BaseException:
+        job.release()
+        raise
+    if fields.get('stream'):
+        return answer_stream(exchange)
+    return await answer_whole(exchange)
+
+
+async def _begin(
+    parts: Parts,
+    job: Job,
+    fields: dict[str, Any],
+    workspace: WorkspaceSpec,
+) -> Exchange:
+    choices.check_journal(parts, job)
+    await job.wait_turn()
+    seen = {
+        'model': fields['model'],
+        'stream': bool(fields.get('stream')),
+        'repeatable': job.ask.repeatable,
+        'bytes': len(str(fields['messages'])),
+    }
+    configuration = admission.find_configuration(parts.board)
+    choice = choices.choose(parts, configuration, workspace, seen)
+    order = _choose_model(parts, configuration, choice, fields)
+    job.note_hold(await choices.hold_first(parts, job.ask, choice, order.bound))
+    return Exchange(job, order, await routes.send_order(parts, job, order))
+
+
+def _choose_model(
+    parts: Parts,
+    configuration: Configuration,
+    choice: choices.Choice,
+    fields: dict[str, Any],
+) -> Order:
+    """Take the first chosen model that a worker has."""
+    models = {model['name']: model for model in configuration['models']}
+    made = [
+        orders.make_chat_order(fields, models[name], choice.decision.priority)
+        for name in choice.decision.models
+        if name in models
+    ]
+    if not made:
+        text = 'There is no such model; see /v1/models.'
+        raise RefusedError(Refusal(Code.not_found, text))
+    for order in made:
+        if routes.list_candidates(parts, order):
+            return order
+        _log.info('policy: no worker has {}, falls back.', order.model)
+    return made[0]
--- /dev/null
+++ b/src/dykemast/_internal/path/chat_answers.py
@@ -0,0 +1,131 @@
+"""Answers of chat completions: relayed, settled, and ended by their bill."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from typing import NamedTuple
+
+import logbook
+from starlette.responses import Response, StreamingResponse
+
+from dykemast._internal.exceptions import UpstreamError
+from dykemast._internal.models.requests import Code, Order, Ran, Refusal
+from dykemast._internal.path import background, relays
+from dykemast._internal.path.jobs import CUT, Job, Outcome
+from dykemast._internal.path.parts import RefusedError
+from dykemast._internal.path.routes import Upstream
+
+_log = logbook.Logger('relay')
+
+
+class Exchange(NamedTuple):
+    """An order that is being answered.
+
+    :param job: the request.
+    :param order: what was sent.
+    :param upstream: the answer that has begun.
+    """
+
+    job: Job
+    order: Order
+    upstream: Upstream
+
+
+class _Seen:
+    """What a relayed stream has shown so far."""
+
+    def __init__(self) -> None:
+        self.pieces = 0
+        self.usage: int | None = None
+        self.held: list[bytes] = []
+
+    def note(self, event: relays.Event) -> bool:
+        """Tell whether an event may be passed on before the bill."""
+        if event.usage is not None:
+            self.usage = event.usage
+        if event.last or event.usage is not None:
+            self.held.append(event.body)
+            return False
+        self.pieces += 1
+        return True
+
+
+async def answer_whole(exchange: Exchange) -> Response:
+    """Answer at once what the engine answered at once.
+
+    :param exchange: the order and its begun answer.
+    :returns: the answer, after its bill is durable.
+    :raises RefusedError: when the engine's answer broke off.
+    """
+    order = exchange.order
+    try:
+        body = await relays.read_whole(exchange.upstream.response)
+    except (UpstreamError, asyncio.CancelledError) as error:
+        exchange.upstream.response.close()
+        background.run_apart(
+            exchange.job.finish(Outcome(order.bound, order.bound, CUT))
+        )
+        if isinstance(error, asyncio.CancelledError):
+            raise
+        text = f'The answer broke off and is billed in full: {error}'
+        refusal = Refusal(Code.upstream_failed, text, Ran.did_run)
+        raise RefusedError(refusal) from error
+    return await _end_whole(exchange, body)
+
+
+async def _end_whole(exchange: Exchange, body: bytes) -> Response:
+    status = exchange.upstream.response.status
+    usage = relays.find_usage(body)
+    if usage is None:
+        # An answer of this kind without usage is the engine's word that the
+        # order made no sense; else what is not reported is charged in full.
+        bad = status >= HTTPStatus.BAD_REQUEST
+        usage = 0 if bad else exchange.order.bound
+    verdict = await exchange.job.finish(Outcome(usage, usage))
+    headers = {
+        'x-request-id': exchange.job.ask.request,
+        'x-billed-tokens': str(usage),
+        'x-bill': verdict.value,
+    }
+    return Response(body, status, headers, 'application/json')
+
+
+def answer_stream(exchange: Exchange) -> Response:
+    """Answer piece by piece.
+
+    :param exchange: the order and its begun answer.
+    :returns: the answer; its end marker waits for the bill.
+    """
+    return StreamingResponse(
+        _relay(exchange),
+        exchange.upstream.response.status,
+        {'x-request-id': exchange.job.ask.request},
+        'text/event-stream',
+    )
+
+
+async def _relay(exchange: Exchange) -> AsyncIterator[bytes]:
+    seen = _Seen()
+    job = exchange.job
+    try:
+        async for event in relays.read_events(exchange.upstream.response):
+            if seen.note(event):
+                yield event.body
+    except BaseException as error:
+        _end_cut(exchange, seen)
+        _log.info('relay: {} cut: {}', job.ask.request, repr(error))
+        raise
+    exchange.upstream.response.close()
+    usage = exchange.order.bound if seen.usage is None else seen.usage
+    await job.finish(Outcome(usage, usage))
+    for body in seen.held:
+        yield body
+
+
+def _end_cut(exchange: Exchange, seen: _Seen) -> None:
+    order = exchange.order
+    exchange.upstream.response.close()
+    # Tokens may have been made that nobody has seen: the budget is charged
+    # in full, the bill names what was delivered.
+    billed = min(order.bound, order.prompt_bound + seen.pieces)
+    background.run_apart(exchange.job.finish(Outcome(order.bound, billed, CUT)))
--- /dev/null
+++ b/src/dykemast/_internal/path/choices.py
@@ -0,0 +1,110 @@
+"""What the workspace's policy chooses for a request."""
+
+from typing import Any, NamedTuple
+
+import logbook
+
+from dykemast._internal.controllers.bills import MAX_KEPT
+from dykemast._internal.models.requests import Ask, Code, Refusal
+from dykemast._internal.models.revisions import (
+    Configuration,
+    PolicySpec,
+    WorkspaceSpec,
+)
+from dykemast._internal.operations.holder import LeaseTerms
+from dykemast._internal.operations.expressions import PolicyError
+from dykemast._internal.operations.policies import Decision, decide
+from dykemast._internal.path import policy_views
+from dykemast._internal.path.holds import Wanted, take_hold
+from dykemast._internal.path.jobs import Hold, Job
+from dykemast._internal.path.parts import Parts, RefusedError
+
+_log = logbook.Logger('policy')
+
+
+class Choice(NamedTuple):
+    """A policy's decision about one request.
+
+    :param workspace: who asks.
+    :param decision: what the policy says.
+    """
+
+    workspace: WorkspaceSpec
+    decision: Decision
+
+
+def choose(
+    parts: Parts,
+    configuration: Configuration,
+    workspace: WorkspaceSpec,
+    request: dict[str, Any],
+) -> Choice:
+    """Run the workspace's policy.
+
+    :param parts: parts of the router.
+    :param configuration: in force.
+    :param workspace: who asks.
+    :param request: what the policy sees as ``request``.
+    :returns: what it decides.
+    :raises RefusedError: when it fails or does not allow the request.
+    """
+    view = policy_views.view_all(parts, workspace['name'], request)
+    policy = _find_policy(configuration, workspace['policy'])
+    try:
+        decision = decide(policy, view, str(request['model']))
+    except PolicyError as error:
+        text = f'The policy of the workspace failed: {error.field}: {error}'
+        raise RefusedError(Refusal(Code.policy_failed, text)) from error
+    _log.info('policy: {} says {}.', workspace['policy'], decision)
+    if decision.allow:
+        return Choice(workspace, decision)
+    text = 'The policy of the workspace does not allow this request.'
+    raise RefusedError(Refusal(Code.not_allowed, text))
+
+
+def _find_policy(configuration: Configuration, name: str) -> PolicySpec:
+    return next(one for one in configuration['policies'] if one['name'] == name)
+
+
+async def hold_first(
+    parts: Parts,
+    ask: Ask,
+    choice: Choice,
+    tokens: int,
+) -> Hold:
+    """Reserve tokens of the first chosen budget that has room.
+
+    :param parts: parts of the router.
+    :param ask: the request.
+    :param choice: which budgets may be drawn on.
+    :param tokens: how many.
+    :returns: the hold.
+    :raises RefusedError: when no budget has room.
+    """
+    terms = _choose_terms(choice.workspace)
+    failure = RefusedError(Refusal(Code.budget_empty, 'No budget is named.'))
+    for name in choice.decision.budgets:
+        wanted = Wanted(f'{ask.workspace}/{name}', terms, tokens)
+        try:
+            return await take_hold(parts, ask, wanted)
+        except RefusedError as error:
+            _log.info('policy: {} finds no room in {}.', ask.request, name)
+            failure = error
+    raise failure
+
+
+def _choose_terms(workspace: WorkspaceSpec) -> LeaseTerms:
+    horizon = workspace.get('lease_horizon', LeaseTerms().horizon)
+    return LeaseTerms(horizon=horizon)
+
+
+def check_journal(parts: Parts, job: Job) -> None:
+    """Check that a bill for this request could be kept.
+
+    :param parts: parts of the router.
+    :param job: the request.
+    :raises RefusedError: when too many bills wait already.
+    """
+    if len(parts.bills.kept) >= MAX_KEPT:
+        text = 'Too many bills wait to be written.'
+        raise RefusedError(Refusal(Code.platform_away, text, retry_after=5))
--- /dev/null
+++ b/src/dykemast/_internal/path/claims.py
@@ -0,0 +1,44 @@
+"""Claim a request that may run only once, before it is sent."""
+
+import time
+from typing import Final
+
+from dykemast._internal.exceptions import PlatformError
+from dykemast._internal.models.journal import Entry, EntryKind, Verdict
+from dykemast._internal.models.requests import Ask, Code, Ran, Refusal
+from dykemast._internal.path.parts import Parts, RefusedError
+
+#: Seconds after which coming back may help when the journal is away.
+AWAY_RETRY: Final = 5
+
+
+async def claim(parts: Parts, ask: Ask) -> Entry | None:
+    """Claim the key of a request that may not be repeated.
+
+    :param parts: parts of the router.
+    :param ask: the request.
+    :returns: the recorded outcome, when an earlier attempt has one.
+    :raises RefusedError: when the request must not run now.
+    """
+    entry = Entry(
+        key=f'{ask.workspace}|{ask.key}',
+        kind=EntryKind.claimed,
+        run=ask.request,
+        at=time.time(),
+    )
+    try:
+        ack = await parts.bills.claim(entry)
+    except PlatformError as error:
+        # The claim may yet be written. It then stands for this attempt, which
+        # never runs, so a retry is told "may have run": safe, if too careful.
+        text = 'Calls that may not be repeated wait for the platform.'
+        refusal = Refusal(Code.platform_away, text, retry_after=AWAY_RETRY)
+        raise RefusedError(refusal) from error
+    if ack.verdict == Verdict.ours:
+        return None
+    if ack.verdict == Verdict.finished:
+        return ack.entry
+    text = (
+        'An earlier attempt with this key may have run; look before retrying.'
+    )
+    raise RefusedError(Refusal(Code.may_have_run, text, Ran.unknown))
--- /dev/null
+++ b/src/dykemast/_internal/path/entries.py
@@ -0,0 +1,65 @@
+"""What callers ask before they send work: addresses, models, health."""
+
+import time
+from http import HTTPStatus
+from typing import Any
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+
+from dykemast._internal.operations.entry import make_entry
+from dykemast._internal.operations.peers import list_peers, make_card
+from dykemast._internal.path.admission import find_configuration
+from dykemast._internal.path.parts import Parts
+
+
+async def serve_entry(parts: Parts, _: Request, body: bytes) -> Response:
+    """Answer which addresses to use.
+
+    :param parts: parts of the router.
+    :param body: not used.
+    :returns: the answer.
+    """
+    board = parts.board
+    peers = list_peers(board.fleet, time.monotonic())
+    keep = board.settings.get('keep_entry', 0)
+    cards = [make_card(board), *peers]
+    entry: Any = make_entry(cards, board.settings['hall'], keep)
+    return JSONResponse(entry)
+
+
+async def serve_models(parts: Parts, _: Request, body: bytes) -> Response:
+    """Answer which models there are, in the usual shape.
+
+    :param parts: parts of the router.
+    :param body: not used.
+    :returns: the answer.
+    """
+    models = [
+        {'id': model['name'], 'object': 'model', 'owned_by': model['service']}
+        for model in find_configuration(parts.board)['models']
+    ]
+    return JSONResponse({'object': 'list', 'data': models})
+
+
+async def serve_live(parts: Parts, _: Request, body: bytes) -> Response:
+    """Answer that the process runs.
+
+    :param parts: not used.
+    :param body: not used.
+    :returns: the answer.
+    """
+    return JSONResponse({'live': True})
+
+
+async def serve_ready(parts: Parts, _: Request, body: bytes) -> Response:
+    """Answer whether callers should be sent here.
+
+    :param parts: parts of the router.
+    :param body: not used.
+    :returns: the answer.
+    """
+    board = parts.board
+    ready = board.rules.revision is not None and not board.traffic.leaving
+    status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+    return JSONResponse({'ready': ready}, status)
--- /dev/null
+++ b/src/dykemast/_internal/path/jobs.py
@@ -0,0 +1,149 @@
+"""One request from its admission to its bill."""
+
+import asyncio
+import time
+from typing import Final, NamedTuple
+
+import logbook
+
+from dykemast._internal.models.journal import Entry, EntryKind, Verdict
+from dykemast._internal.models.requests import Ask
+from dykemast._internal.operations.holder import Holder
+from dykemast._internal.path.parts import Parts
+
+_log = logbook.Logger('bill')
+
+#: Outcome of an answer that reached its end.
+WHOLE: Final = 'whole'
+#: Outcome of an answer that broke off.
+CUT: Final = 'cut'
+
+
+class Hold(NamedTuple):
+    """Tokens reserved for a request.
+
+    :param budget: name of the budget.
+    :param holder: the lease they are reserved in.
+    :param tokens: how many.
+    """
+
+    budget: str
+    holder: Holder
+    tokens: int
+
+
+class Outcome(NamedTuple):
+    """How an attempt ended.
+
+    :param charged: tokens taken from the budget, an upper bound when the
+        backend server did not report.
+    :param billed: tokens on the bill.
+    :param text: ``whole``, ``cut`` or why it failed.
+    :param answer: short answer to replay, or empty.
+    """
+
+    charged: int
+    billed: int
+    text: str = WHOLE
+    answer: str = ''
+
+
+class Job:
+    """What a request has taken, to be given back exactly once.
+
+    :param parts: parts of the router.
+    :param ask: the request.
+    """
+
+    def __init__(self, parts: Parts, ask: Ask) -> None:
+        """Count the request as in progress."""
+        self.ask = ask
+        self._parts = parts
+        self._hold: Hold | None = None
+        self._turn: asyncio.Future[None] | None = None
+        self._released = False
+        traffic = parts.board.traffic
+        traffic.inflight += 1
+        mine = traffic.by_workspace.get(ask.workspace, 0)
+        traffic.by_workspace[ask.workspace] = mine + 1
+
+    def note_hold(self, hold: Hold) -> None:
+        """Keep a hold until the job ends.
+
+        :param hold: tokens reserved.
+        """
+        self._hold = hold
+
+    async def wait_turn(self) -> None:
+        """Wait for the requests before it that ask for the same order."""
+        if self.ask.order:
+            self._turn = await self._parts.turns.take(self.ask.order)
+
+    def charge_lost(self) -> bool:
+        """Charge an attempt whose usage is unknown; reserve for another.
+
+        :returns: whether there was room for another.
+        """
+        hold = self._hold
+        if hold is None or not hold.tokens:
+            return True
+        hold.holder.usage.settle(hold.tokens, hold.tokens)
+        if hold.holder.take_hold(hold.tokens, time.monotonic()):
+            return True
+        self._hold = None
+        return False
+
+    async def finish(self, outcome: Outcome) -> Verdict:
+        """Settle the hold, write the bill and let go of everything.
+
+        :param outcome: how the attempt ended.
+        :returns: whether the bill stands, or an earlier one does.
+        """
+        budget = self._hold.budget if self._hold else ''
+        self._settle(outcome.charged)
+        entry = _make_entry(self.ask, budget, outcome)
+        # A caller who goes away now must not take the bill along.
+        recording = asyncio.ensure_future(self._parts.bills.record(entry))
+        recording.add_done_callback(lambda _: self.release())
+        return await asyncio.shield(recording)
+
+    def release(self) -> None:
+        """Let go of everything; nothing was consumed after the last charge."""
+        if self._released:
+            return
+        self._released = True
+        self._settle(0)
+        traffic = self._parts.board.traffic
+        traffic.inflight -= 1
+        left = traffic.by_workspace.pop(self.ask.workspace) - 1
+        if left:
+            traffic.by_workspace[self.ask.workspace] = left
+        if self._turn:
+            self._parts.turns.end(self.ask.order, self._turn)
+
+    def _settle(self, charged: int) -> None:
+        hold = self._hold
+        if hold is None:
+            return
+        self._hold = None
+        hold.holder.usage.settle(hold.tokens, charged)
+        if charged > hold.tokens:
+            _log.error(
+                'bill: {} consumed {} with a hold of {}.',
+                self.ask.request,
+                charged,
+                hold.tokens,
+            )
+
+
+def _make_entry(ask: Ask, budget: str, outcome: Outcome) -> Entry:
+    return Entry(
+        key=f'{ask.workspace}|{ask.key}',
+        kind=EntryKind.finished,
+        run=ask.request,
+        budget=budget,
+        tokens=outcome.billed,
+        outcome=outcome.text,
+        at=time.time(),
+        answer=outcome.answer,
+    )
--- /dev/null
+++ b/src/dykemast/_internal/path/orders.py
@@ -0,0 +1,127 @@
+"""Orders to backend servers, made of callers' requests."""
+
+import json
+from typing import Any, Final
+
+from starlette.datastructures import Headers
+
+from dykemast._internal.models.requests import Order
+from dykemast._internal.models.revisions import ModelSpec, ServiceSpec
+from dykemast._internal.operations.rendezvous import hash_text
+from dykemast._internal.path.chat_bodies import refuse_bad
+
+#: Path of the chat completions, here and at the engines.
+CHAT_PATH: Final = '/v1/chat/completions'
+#: Tokens that an engine's template may add to a prompt.
+TEMPLATE_TOKENS: Final = 64
+#: Tokens that it may add for each message.
+MESSAGE_TOKENS: Final = 16
+#: Leading characters of a prompt that decide which worker has it cached.
+PREFIX_CHARACTERS: Final = 512
+_CAPS: Final = frozenset(('max_tokens', 'max_completion_tokens'))
+_HOP_BY_HOP: Final = frozenset(
+    (
+        'authorization',
+        'connection',
+        'content-length',
+        'host',
+        'idempotency-key',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-deadline',
+        'x-order-key',
+        'x-priority',
+        'x-repeatable',
+        'x-request-id',
+    )
+)
+
+
+def make_chat_order(
+    fields: dict[str, Any],
+    model: ModelSpec,
+    priority: int,
+) -> Order:
+    """Make the order for a model.
+
+    The output cap is always sent, and the prompt cannot have more tokens
+    than bytes, so the hold bounds what the engine can consume.
+
+    :param fields: of the caller's request.
+    :param model: the model to use.
+    :param priority: 0 to 9.
+    :returns: the order.
+    :raises RefusedError: when the caller's cap makes no sense.
+    """
+    cap = _choose_cap(fields, model)
+    sent = _fill_fields(fields, model['name'], cap)
+    sent['priority'] = priority
+    prompt = _bound_prompt(fields)
+    return Order(
+        service=model['service'],
+        model=model['name'],
+        path=CHAT_PATH,
+        method='POST',
+        headers={'content-type': 'application/json'},
+        body=json.dumps(sent).encode(),
+        bound=prompt + cap,
+        prompt_bound=prompt,
+        prefix=hash_text(str(fields['messages'])[:PREFIX_CHARACTERS]),
+        priority=priority,
+    )
+
+
+def _fill_fields(
+    fields: dict[str, Any], model: str, cap: int
+) -> dict[str, Any]:
+    sent = {name: fields[name] for name in fields if name not in _CAPS}
+    if fields.get('stream'):
+        sent['stream_options'] = {'include_usage': True}
+    return {**sent, 'model': model, 'max_tokens': cap}
+
+
+def _bound_prompt(fields: dict[str, Any]) -> int:
+    text = json.dumps(fields, ensure_ascii=False)
+    overhead = TEMPLATE_TOKENS + MESSAGE_TOKENS * len(fields['messages'])
+    return len(text.encode('utf-8', 'surrogatepass')) + overhead
+
+
+def make_call_order(
+    service: ServiceSpec,
+    path: str,
+    method: str,
+    headers: Headers,
+) -> Order:
+    """Make the order for a call of a plain service.
+
+    :param service: the service.
+    :param path: path and query to call.
+    :param method: HTTP method.
+    :param headers: of the caller's request.
+    :returns: the order, without its body.
+    """
+    passed = {
+        name: text for name, text in headers.items() if name not in _HOP_BY_HOP
+    }
+    return Order(
+        service=service['name'],
+        model='',
+        path=path,
+        method=method,
+        headers=passed,
+        body=b'',
+        bound=service.get('call_tokens', 0),
+    )
+
+
+def _choose_cap(fields: dict[str, Any], model: ModelSpec) -> int:
+    caps = [fields[name] for name in _CAPS if fields.get(name) is not None]
+    for cap in caps:
+        if not isinstance(cap, int) or isinstance(cap, bool) or cap < 1:
+            raise refuse_bad('"max_tokens" is a whole number above 0.')
+    return min([model['max_tokens'], *caps])
--- /dev/null
+++ b/src/dykemast/_internal/path/policy_views.py
@@ -0,0 +1,57 @@
+"""What a policy sees."""
+
+from collections import Counter
+from typing import Any
+
+from dykemast._internal.path.parts import Parts
+
+
+def view_all(
+    parts: Parts,
+    workspace: str,
+    request: dict[str, Any],
+) -> dict[str, Any]:
+    """Show a policy everything it may use.
+
+    :param parts: parts of the router.
+    :param workspace: name of the workspace that asks.
+    :param request: what it sees of the request.
+    :returns: values of ``request``, ``budget`` and ``fleet``.
+    """
+    return {
+        'request': request,
+        'budget': view_budgets(parts, workspace),
+        'fleet': view_fleet(parts),
+    }
+
+
+def view_budgets(parts: Parts, workspace: str) -> dict[str, Any]:
+    """Show a policy what this router knows of the workspace's budgets.
+
+    :param parts: parts of the router.
+    :param workspace: its name.
+    :returns: unspent and paid tokens by budget, as last heard.
+    """
+    known: dict[str, Any] = {}
+    prefix = f'{workspace}/'
+    for name, holder in parts.leases.book.holders.items():
+        ack = holder.lease.ack
+        if ack and name.startswith(prefix):
+            known[name.removeprefix(prefix)] = {
+                'unspent': ack.unspent,
+                'paid': ack.paid,
+            }
+    return known
+
+
+def view_fleet(parts: Parts) -> dict[str, Any]:
+    """Show a policy how many workers have each model.
+
+    :param parts: parts of the router.
+    :returns: counts by model, of workers that stay.
+    """
+    counts: Counter[str] = Counter()
+    for name, report in parts.board.loads.reports.items():
+        if name not in parts.board.fleet.leaving:
+            counts.update(report.models)
+    return {'workers': dict(counts)}
--- /dev/null
+++ b/src/dykemast/_internal/path/relays.py
@@ -0,0 +1,109 @@
+"""Pass an answer on, and learn from it what was consumed."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any, Final, NamedTuple
+
+import aiohttp
+import msgspec
+
+from dykemast._internal.exceptions import UpstreamError
+
+#: Bytes of one event, or of one whole answer, at most.
+MAX_ANSWER: Final = 16_777_216
+#: What ends an event of a stream.
+_EVENT_END: Final = b'\n\n'
+_END_MARKER: Final = b'data: [DONE]'
+
+
+class Event(NamedTuple):
+    """One event of a streamed answer.
+
+    :param body: its bytes, with the blank line that ends it.
+    :param usage: tokens consumed, where the event reports them.
+    :param last: whether it is the end marker.
+    """
+
+    body: bytes
+    usage: int | None = None
+    last: bool = False
+
+
+async def read_events(
+    response: aiohttp.ClientResponse,
+) -> AsyncIterator[Event]:
+    """Read the events of a streamed answer, up to its end marker.
+
+    :param response: the answer of a backend server.
+    :returns: its events; the end marker comes last.
+    :raises UpstreamError: when the answer breaks off before.
+    """
+    rest = b''
+    async for chunk in read_chunks(response):
+        *bodies, rest = (rest + chunk).split(_EVENT_END)
+        for body in bodies:
+            event = _read_event(body)
+            yield event
+            if event.last:
+                return
+        if len(rest) > MAX_ANSWER:
+            raise UpstreamError('an event is too long.', sent=True)
+    raise UpstreamError('the stream ended without its end marker.', sent=True)
+
+
+async def read_chunks(
+    response: aiohttp.ClientResponse,
+) -> AsyncIterator[bytes]:
+    """Read an answer's body as it comes.
+
+    :param response: the answer of a backend server.
+    :returns: its bytes.
+    :raises UpstreamError: when the connection breaks.
+    """
+    try:
+        async for chunk in response.content.iter_any():
+            yield chunk
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        kind = type(error).__name__
+        raise UpstreamError(
+            f'the answer broke off: {kind}.', sent=True
+        ) from error
+
+
+async def read_whole(response: aiohttp.ClientResponse) -> bytes:
+    """Read a whole answer.
+
+    :param response: the answer of a backend server.
+    :returns: its body.
+    :raises UpstreamError: when it breaks off or is too long.
+    """
+    body = bytearray()
+    async for chunk in read_chunks(response):
+        body += chunk
+        if len(body) > MAX_ANSWER:
+            raise UpstreamError('the answer is too long.', sent=True)
+    return bytes(body)
+
+
+def find_usage(body: bytes) -> int | None:
+    """Find what an answer says was consumed.
+
+    :param body: JSON of an answer or an event.
+    :returns: tokens, or nothing.
+    """
+    try:
+        fields = msgspec.json.decode(body, type=dict[str, Any])
+    except msgspec.MsgspecError:
+        return None
+    usage = fields.get('usage') or {}
+    total = usage.get('total_tokens') if isinstance(usage, dict) else None
+    return total if isinstance(total, int) and total >= 0 else None
+
+
+def _read_event(body: bytes) -> Event:
+    whole = body + _EVENT_END
+    if body.strip() == _END_MARKER:
+        return Event(whole, last=True)
+    if b'"usage"' not in body:
+        return Event(whole)
+    return Event(whole, usage=find_usage(body.strip().removeprefix(b'data: ')))
--- /dev/null
+++ b/src/dykemast/_internal/path/routes.py
@@ -0,0 +1,141 @@
+"""Choose a backend server and send the order, again where that is safe."""
+
+import time
+from typing import Final, NamedTuple
+
+import aiohttp
+import logbook
+
+from dykemast._internal.exceptions import UpstreamError
+from dykemast._internal.models.fleet import Instance, LoadReport
+from dykemast._internal.models.requests import (
+    Code,
+    Order,
+    Ran,
+    Refusal,
+)
+from dykemast._internal.operations.routing import (
+    Candidate,
+    Ranking,
+    rank_workers,
+)
+from dykemast._internal.path.jobs import Job
+from dykemast._internal.path.parts import Parts, RefusedError
+
+_log = logbook.Logger('route')
+
+#: Workers tried for one request at most.
+MAX_TRIES: Final = 3
+#: Seconds after which another worker may be there.
+WORKER_RETRY: Final = 2
+
+
+class Upstream(NamedTuple):
+    """An answer that has begun.
+
+    :param instance: the backend server.
+    :param response: its answer; the body is still to be read.
+    """
+
+    instance: Instance
+    response: aiohttp.ClientResponse
+
+
+def list_candidates(parts: Parts, order: Order) -> list[Candidate]:
+    """List the workers that could run an order.
+
+    :param parts: parts of the router.
+    :param order: the order.
+    :returns: those that are of the service, have the model and stay.
+    """
+    board = parts.board
+    reports = board.loads.reports
+    found = [
+        Candidate(
+            instance,
+            board.traffic.by_worker.get(instance.name, 0),
+            reports.get(instance.name, LoadReport()),
+        )
+        for instance in board.fleet.instances
+        if instance.role == order.service
+        and instance.name not in board.fleet.leaving
+        and not parts.breakers.is_open(instance.name, time.monotonic())
+    ]
+    return [
+        one
+        for one in found
+        if not order.model or order.model in one.report.models
+    ]
+
+
+async def send_order(parts: Parts, job: Job, order: Order) -> Upstream:
+    """Send an order to the best worker, or to the next where that is safe.
+
+    :param parts: parts of the router.
+    :param job: the request.
+    :param order: what to send.
+    :returns: the answer that has begun.
+    :raises RefusedError: when no worker gave one.
+    """
+    parts.breakers.note_request()
+    ranking = Ranking(
+        parts.board.settings['hall'], order.prefix, time.monotonic()
+    )
+    ranked = rank_workers(list_candidates(parts, order), ranking, parts.chance)
+    failure: UpstreamError | None = None
+    for candidate in ranked[:MAX_TRIES]:
+        if failure and not _may_retry(parts, job, failure):
+            break
+        try:
+            return await _try_worker(parts, job, order, candidate)
+        except UpstreamError as error:
+            failure = _worse(failure, error)
+    raise RefusedError(_refuse(order, failure))
+
+
+async def _try_worker(
+    parts: Parts,
+    job: Job,
+    order: Order,
+    candidate: Candidate,
+) -> Upstream:
+    instance = candidate.instance
+    _log.info(
+        'route: {} of {} to {} in {} ({} in flight, {} reported).',
+        job.ask.request,
+        job.ask.workspace,
+        instance.name,
+        instance.hall,
+        candidate.inflight,
+        candidate.report.running,
+    )
+    try:
+        response = await parts.backends.send(instance, order, job.ask)
+    except UpstreamError as error:
+        parts.breakers.note_failure(instance.name, time.monotonic())
+        _log.warning('route: {} failed: {}', job.ask.request, error)
+        raise
+    parts.breakers.note_success(instance.name)
+    return Upstream(instance, response)
+
+
+def _may_retry(parts: Parts, job: Job, failure: UpstreamError) -> bool:
+    if time.monotonic() > job.ask.deadline or not parts.breakers.spend_retry():
+        return False
+    if not failure.sent:
+        return True
+    return job.ask.repeatable and job.charge_lost()
+
+
+def _worse(before: UpstreamError | None, error: UpstreamError) -> UpstreamError:
+    return before if before and before.sent else error
+
+
+def _refuse(order: Order, failure: UpstreamError | None) -> Refusal:
+    if failure is None:
+        wanted = order.model or 'room'
+        text = f'No worker of {order.service} has {wanted} now.'
+        return Refusal(Code.no_worker, text, retry_after=WORKER_RETRY)
+    ran = Ran.unknown if failure.sent else Ran.not_run
+    text = f'The backend server failed: {failure}'
+    return Refusal(Code.upstream_failed, text, ran, retry_after=WORKER_RETRY)
--- /dev/null
+++ b/src/dykemast/_internal/path/turns.py
@@ -0,0 +1,42 @@
+"""Turns of requests that ask to run in order."""
+
+import asyncio
+
+
+class Turns:
+    """Queues by order key; those without a waiter take no memory."""
+
+    def __init__(self) -> None:
+        """Start with no queue."""
+        self._last: dict[str, asyncio.Future[None]] = {}
+
+    async def take(self, order: str) -> asyncio.Future[None]:
+        """Wait until all earlier requests of an order key are done.
+
+        :param order: the key.
+        :returns: the turn, to be given to :meth:`end`.
+        """
+        turn: asyncio.Future[None] = asyncio.Future()
+        before = self._last.get(order)
+        self._last[order] = turn
+        if before is None:
+            return turn
+        try:
+            await asyncio.shield(before)
+        except asyncio.CancelledError:
+            # Whoever waits for this turn still has to wait for the one
+            # before it.
+            before.add_done_callback(lambda _: self.end(order, turn))
+            raise
+        return turn
+
+    def end(self, order: str, turn: asyncio.Future[None]) -> None:
+        """Let the next request of an order key run.
+
+        :param order: the key.
+        :param turn: as given by :meth:`take`.
+        """
+        if not turn.done():
+            turn.set_result(None)
+        if self._last.get(order) is turn:
+            self._last.pop(order)
--- /dev/null
+++ b/src/dykemast/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers, one subject a module."""
--- /dev/null
+++ b/src/dykemast/_internal/utils/keys.py
@@ -0,0 +1,26 @@
+"""Keys of callers and operators, known only by their hashes."""
+
+import hashlib
+import hmac
+
+from starlette.datastructures import Headers
+
+
+def hash_bearer(headers: Headers) -> str:
+    """Hash the bearer key of a request.
+
+    :param headers: of the request.
+    :returns: hexadecimal digest; that of an empty key when there is none.
+    """
+    key = headers.get('authorization', '').removeprefix('Bearer ')
+    return hashlib.sha256(key.encode('utf-8', 'replace')).hexdigest()
+
+
+def is_same(digest: str, known: str) -> bool:
+    """Compare two digests in constant time.
+
+    :param digest: of the key that was sent.
+    :param known: from the configuration.
+    :returns: whether they are the same.
+    """
+    return hmac.compare_digest(digest, known)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; ``python -m tests`` runs them all."""
--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,29 @@
+"""Run all tests: ``python -m tests [NAME...]``."""
+
+import os
+import sys
+import unittest
+
+from hypothesis import settings
+
+from tests.lib.cases import find_cases
+
+settings.register_profile(
+    'ci',
+    # The same verdict every time, and nothing kept between runs.
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=int(os.environ.get('EXAMPLES', '60')),
+    stateful_step_count=40,
+    suppress_health_check=[],
+)
+settings.load_profile('ci')
+
+if __name__ == '__main__':
+    suite = find_cases(sys.argv[1:])
+    outcome = unittest.TextTestRunner(verbosity=2).run(suite)
+    failed = len(outcome.failures) + len(outcome.errors)
+    passed = outcome.testsRun - failed
+    sys.stdout.write(f'{passed} passed, {failed} failed, 0 skipped\n')
+    sys.exit(bool(failed) or not passed)
--- /dev/null
+++ b/tests/lib/caller.py
@@ -0,0 +1,73 @@
+"""A caller: sends requests to a fleet's routers."""
+
+import json
+from types import MappingProxyType
+from typing import Any, NamedTuple
+from urllib import error as url_error
+from urllib import request as url_request
+
+from tools.fleet import Fleet
+from tools.layout import HOST
+
+
+#: Headers of an ordinary caller.
+CALLER = MappingProxyType({'authorization': 'Bearer joinville-key'})
+
+
+class Answer(NamedTuple):
+    """What a caller got."""
+
+    status: int
+    headers: Any
+    text: str
+
+
+def ask(
+    fleet: Fleet,
+    router: int,
+    path: str,
+    body: bytes,
+    **headers: str,
+) -> Answer:
+    """Post a body; underscores in header names become hyphens."""
+    port = fleet.layout.routers[router].caller_port
+    request = url_request.Request(f'http://{HOST}:{port}{path}', body)
+    for name, text in {**CALLER, **headers}.items():
+        request.add_header(name.replace('_', '-'), text)
+    try:
+        with url_request.urlopen(request, timeout=30) as response:
+            return _read(response)
+    except url_error.HTTPError as error:
+        return _read(error)
+
+
+def ask_chat(
+    fleet: Fleet,
+    router: int,
+    prompt: str,
+    key: str = '',
+    **fields: Any,
+) -> Answer:
+    """Ask for a chat completion."""
+    messages = [{'role': 'user', 'content': prompt}]
+    body = {'model': 'tiny-1', 'messages': messages, **fields}
+    headers = {'idempotency_key': key} if key else {}
+    path = '/v1/chat/completions'
+    return ask(fleet, router, path, json.dumps(body).encode(), **headers)
+
+
+def ask_service(
+    fleet: Fleet,
+    router: int,
+    path: str,
+    key: str,
+    **headers: str,
+) -> Answer:
+    """Call a plain service."""
+    path = f'/services/{path}'
+    return ask(fleet, router, path, b'order', idempotency_key=key, **headers)
+
+
+def _read(response: Any) -> Answer:
+    text = response.read().decode()
+    return Answer(response.status, response.headers, text)
--- /dev/null
+++ b/tests/lib/engine.py
@@ -0,0 +1,106 @@
+"""Stand-in for a model engine; counts what it ran per request id.
+
+``python -m tests.lib.engine --port N --models a,b``. One prompt token per
+four bytes plus eight; output runs to the cap unless the prompt says
+``stop=N``. ``GET /counts`` tells what was run, ``POST /control`` sets
+``rate`` (tokens/s), ``cut_after`` (tokens until the stream breaks) and
+``swap_ids`` (echo a wrong request id).
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from tests.lib.engine_text import (
+    choose_length,
+    count_prompt,
+    make_usage,
+)
+
+settings = {'rate': 200.0, 'cut_after': 0, 'swap_ids': False, 'models': []}
+ran: dict[str, dict] = {}
+load = {'running': 0, 'waiting': 0}
+
+
+async def _generate(body: dict, count: dict):
+    load['running'] += 1
+    with contextlib.ExitStack() as stack:
+        stack.callback(lambda: load.update(running=load['running'] - 1))
+        for number in range(choose_length(body)):
+            await asyncio.sleep(1 / settings['rate'])
+            if settings['cut_after'] and number >= settings['cut_after']:
+                raise ConnectionResetError('cut')
+            count['output'] += 1
+            yield f'w{number} '
+
+
+async def _stream(body: dict, count: dict):
+    async for text in _generate(body, count):
+        piece = {'choices': [{'index': 0, 'delta': {'content': text}}]}
+        yield f'data: {json.dumps(piece)}\n\n'
+    usage = make_usage(count)
+    yield f'data: {json.dumps({"choices": [], "usage": usage})}\n\n'
+    yield 'data: [DONE]\n\n'
+
+
+async def complete(request: Request) -> Response:
+    body = await request.json()
+    name = request.headers['x-request-id']
+    count = ran.setdefault(name, {'runs': 0, 'prompt': 0, 'output': 0})
+    count['runs'] += 1
+    count['prompt'] += count_prompt(body)
+    if settings['swap_ids']:
+        name = 'someone-else'
+    if body.get('stream'):
+        answer = StreamingResponse(_stream(body, count))
+        answer.headers['content-type'] = 'text/event-stream'
+    else:
+        answer = JSONResponse(await _answer_whole(body, count))
+    answer.headers['x-request-id'] = name
+    return answer
+
+
+async def _answer_whole(body: dict, count: dict) -> dict:
+    text = ''.join([part async for part in _generate(body, count)])
+    message = {'role': 'assistant', 'content': text}
+    return {'choices': [{'message': message}], 'usage': make_usage(count)}
+
+
+async def show_load(request: Request) -> Response:
+    return JSONResponse({**load, 'models': settings['models']})
+
+
+async def show_counts(request: Request) -> Response:
+    return JSONResponse(ran)
+
+
+async def control(request: Request) -> Response:
+    settings.update(await request.json())
+    return JSONResponse(settings)
+
+
+app = Starlette(
+    routes=[
+        Route('/v1/chat/completions', complete, methods=['POST']),
+        Route('/load', show_load),
+        Route('/counts', show_counts),
+        Route('/control', control, methods=['POST']),
+    ]
+)
+
+if __name__ == '__main__':
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--models', default='tiny-1')
+    parser.add_argument('--rate', type=float, default=200)
+    options = parser.parse_args()
+    settings['models'] = options.models.split(',')
+    settings['rate'] = options.rate
+    uvicorn.run(app, port=options.port, loop='asyncio', log_level='critical')
--- /dev/null
+++ b/tests/lib/plain.py
@@ -0,0 +1,59 @@
+"""Stand-in for a plain service; counts how often each key was run.
+
+``python -m tests.lib.plain --port N``. ``GET /counts`` tells the runs per
+request id; ``POST /control`` sets ``delay`` (s) before an answer.
+"""
+
+import argparse
+import asyncio
+
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+settings = {'delay': 0}
+ran: dict[str, int] = {}
+
+
+async def run_call(request: Request) -> Response:
+    body = await request.body()
+    key = request.headers.get('idempotency-key', '')
+    ran[key] = ran.get(key, 0) + 1
+    await asyncio.sleep(settings['delay'])
+    seen = {
+        'method': request.method,
+        'path': request.url.path,
+        'query': request.url.query,
+        'body': body.decode(),
+        'run': ran[key],
+    }
+    echo = {'x-request-id': request.headers.get('x-request-id', '')}
+    return JSONResponse(seen, headers=echo)
+
+
+async def show_counts(request: Request) -> Response:
+    return JSONResponse(ran)
+
+
+async def control(request: Request) -> Response:
+    settings.update(await request.json())
+    return JSONResponse(settings)
+
+
+app = Starlette(
+    routes=[
+        Route('/counts', show_counts),
+        Route('/control', control, methods=['POST']),
+        Route(
+            '/{path:path}', run_call, methods=['GET', 'POST', 'PUT', 'DELETE']
+        ),
+    ]
+)
+
+if __name__ == '__main__':
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--port', type=int, required=True)
+    options = parser.parse_args()
+    uvicorn.run(app, port=options.port, loop='asyncio', log_level='critical')
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs around the product: demo, measurements, mutants."""
