Prove "no overspend" by stateful fuzzing, with mutants that show it can fail

Cause: nothing yet showed that the lease rules hold under loss, delay, freeze, death and lending.

Change: tests/lib/lease_world.py drives the product's own decision code with a controlled clock; the oracle knows tokens paid and tokens consumed.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -4,10 +4,14 @@
 import sys
 import unittest
 
-from hypothesis import settings
+from hypothesis import Phase, settings
 
 from tests.lib.cases import find_cases
 
+PHASES = [Phase.explicit, Phase.generate]
+if not os.environ.get('NO_SHRINK'):
+    PHASES.append(Phase.shrink)
+
 settings.register_profile(
     'ci',
     # The same verdict every time, and nothing kept between runs.
@@ -16,7 +20,7 @@
     deadline=None,
     max_examples=int(os.environ.get('EXAMPLES', '60')),
     stateful_step_count=40,
-    suppress_health_check=[],
+    phases=PHASES,
 )
 settings.load_profile('ci')
 
--- /dev/null
+++ b/tests/unit/test_lease_death.py
@@ -0,0 +1,103 @@
+"""What a dead router may have used, step by step."""
+
+from tests.lib.lease_world import Router, World
+
+
+def make_world() -> World:
+    """Three routers with demand; the keeper reads as it goes."""
+    world = World()
+    world.top_up('first', 9000)
+    for router in world.routers * 3:
+        world.read_shard()
+        world.start_work(router, 100)
+        world.renew(router)
+        world.end_work(router, 100)
+        world.now += 1
+    return world
+
+
+def use_up(world: World) -> None:
+    for _ in range(6):
+        for router in world.routers:
+            world.renew(router)
+            world.use_all(router)
+        world.now += 31
+
+
+def find_row(world: World, router: Router):
+    holder = router.book.holders['shop/main'].owner.holder
+    return world.shard.budget.rows[holder]
+
+
+def count_spent(router: Router) -> int:
+    return router.book.holders['shop/main'].usage.spent
+
+
+def test_only_the_armed_part_is_usable_after_a_write() -> None:
+    world = make_world()
+    dying = world.routers[0]
+    row = find_row(world, dying)
+    assert row.armed < row.allotted
+    assert world.hold_all(dying) == row.armed - count_spent(dying)
+    world.replace(0, same_instance=True)
+    world.reclaim(0)
+    assert world.shard.budget.doubtful == row.armed - row.spent
+    use_up(world)
+    assert world.consumed <= world.paid
+
+
+def test_the_whole_lease_is_usable_when_the_platform_is_silent() -> None:
+    world = make_world()
+    cut_off = world.routers[0]
+    row = find_row(world, cut_off)
+    world.now += 31
+    assert world.hold_all(cut_off) == row.allotted - count_spent(cut_off)
+    world.replace(0, same_instance=True)
+    world.reclaim(0)
+    # Who died then cannot be shown to have died soon after its last write.
+    assert world.shard.budget.doubtful == row.allotted - row.spent
+    use_up(world)
+    assert world.consumed <= world.paid
+
+
+def test_a_lost_answer_binds_the_holder_to_the_lower_level() -> None:
+    world = make_world()
+    dying = world.routers[0]
+    world.start_work(dying, 300)
+    world.renew(dying)
+    world.renew(dying)
+    high = find_row(world, dying).armed
+    world.end_work(dying, 0)
+    world.read_shard()
+    for lost in world.plan(dying):
+        world.shard.apply(lost)
+    low = find_row(world, dying)
+    assert low.armed < high
+    assert world.hold_all(dying) == low.armed - count_spent(dying)
+    world.replace(0, same_instance=True)
+    world.reclaim(0)
+    use_up(world)
+    assert world.consumed <= world.paid
+
+
+def test_a_frozen_router_keeps_its_lease() -> None:
+    world = make_world()
+    frozen = world.routers[0]
+    allotted = find_row(world, frozen).allotted
+    world.now += 4000
+    world.reclaim(0)
+    assert find_row(world, frozen).allotted == allotted
+
+
+def test_death_long_ago_charges_the_whole_lease() -> None:
+    world = make_world()
+    row = find_row(world, world.routers[0])
+    world.replace(0, same_instance=False)
+    world.now += 29
+    world.reclaim(5)
+    # The keeper read an older version 31 s ago: it cannot tell any more.
+    world.now += 31
+    world.reclaim(5)
+    assert world.shard.budget.rows.get(row.holder) is None
+    use_up(world)
+    assert world.consumed <= world.paid
--- /dev/null
+++ b/tests/unit/test_lease_fuzz.py
@@ -0,0 +1,156 @@
+"""No overspend, whatever is lost, late, repeated, frozen or killed.
+
+The oracle knows two numbers: tokens paid, and tokens that the backend
+servers may have consumed.
+"""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from dykemast._internal.operations.budget_counts import check_budget
+from tests.lib.lease_world import BUDGET, World
+
+ROUTERS = st.integers(0, 2)
+TOKENS = st.integers(1, 400)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Faults in any order, twice and together."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World()
+        self.mail = []
+        self.frozen = set()
+
+    @initialize(tokens=st.integers(500, 5000))
+    def lease_out(self, tokens) -> None:
+        """Begin with demand at all routers and leases out."""
+        self.world.top_up('t0', tokens)
+        for router in self.world.routers * 2:
+            self.world.start_work(router, 10)
+            self.world.renew(router)
+            self.world.end_work(router, 10)
+            self.world.now += 1
+
+    @rule(number=st.integers(0, 5), tokens=st.integers(1, 3000))
+    def top_up(self, number, tokens) -> None:
+        self.world.top_up(f't{number}', tokens)
+
+    @rule(number=ROUTERS, tokens=TOKENS)
+    def start_work(self, number, tokens) -> None:
+        if number not in self.frozen:
+            self.world.start_work(self.world.routers[number], tokens)
+
+    @rule(number=ROUTERS)
+    def use_all(self, number) -> None:
+        """Consume whatever the rules allow."""
+        if number not in self.frozen:
+            self.world.use_all(self.world.routers[number])
+
+    @rule(number=ROUTERS)
+    def hold_all(self, number) -> None:
+        """Send more and more, with no answer yet."""
+        for _ in range(3 * (number not in self.frozen)):
+            self.world.hold_all(self.world.routers[number])
+
+    @rule(number=ROUTERS, used=st.integers(0, 400))
+    def end_work(self, number, used) -> None:
+        if number not in self.frozen:
+            self.world.end_work(self.world.routers[number], used)
+
+    @rule(seconds=st.sampled_from([1, 5]))
+    def live(self, seconds) -> None:
+        """Ordinary life: the keeper reads, everybody renews."""
+        for _ in range(3):
+            self.world.read_shard()
+            for number in sorted({0, 1, 2} - self.frozen):
+                self.world.renew(self.world.routers[number])
+        self.world.now += seconds
+
+    @rule(number=ROUTERS)
+    def renew(self, number) -> None:
+        if number not in self.frozen:
+            self.world.renew(self.world.routers[number])
+
+    @rule(number=ROUTERS)
+    def renew_without_answer(self, number) -> None:
+        if number not in self.frozen:
+            for intent in self.world.plan(self.world.routers[number]):
+                self.world.shard.apply(intent)
+
+    @rule(number=ROUTERS)
+    def post(self, number) -> None:
+        """Send intents that arrive late, or never."""
+        if number not in self.frozen:
+            self.mail.extend(self.world.plan(self.world.routers[number]))
+
+    @rule(place=st.integers(0, 20), twice=st.booleans())
+    def deliver(self, place, twice) -> None:
+        if self.mail:
+            place %= len(self.mail)
+            self.world.shard.apply(self.mail[place])
+            if not twice:
+                self.mail.pop(place)
+
+    @rule(number=ROUTERS, same=st.booleans(), wait=st.sampled_from([0, 9, 40]))
+    def kill(self, number, same, wait) -> None:
+        self.frozen.discard(number)
+        self.world.replace(number, same_instance=same)
+        self.world.now += wait
+        self.world.reclaim(0)
+
+    @rule(number=ROUTERS)
+    def freeze_or_thaw(self, number) -> None:
+        self.frozen ^= {number}
+
+    @rule(giver=ROUTERS, taker=ROUTERS, tokens=TOKENS, lost=st.booleans())
+    def lend(self, giver, taker, tokens, lost) -> None:
+        if giver != taker and not self.frozen & {giver, taker}:
+            world = self.world
+            lender = world.routers[giver].book.holders.get(BUDGET)
+            borrower = world.routers[taker].book.holders.get(BUDGET)
+            if lender and borrower:
+                given = lender.lend(tokens, world.now)
+                borrower.borrow(0 if lost else given)
+
+    @rule(seconds=st.sampled_from([0.3, 2, 10, 16, 31, 400]))
+    def pass_time(self, seconds) -> None:
+        self.world.now += seconds
+
+    @rule()
+    def read_shard(self) -> None:
+        self.world.read_shard()
+
+    @rule(lag=st.sampled_from([0, 5]))
+    def reclaim(self, lag) -> None:
+        self.world.reclaim(lag)
+
+    def teardown(self) -> None:
+        """Consume to the last token: what was leased twice shows now."""
+        for _ in range(4):
+            self.use_everything(31)
+            self.is_never_overspent()
+
+    @rule(seconds=st.sampled_from([0, 3, 31]))
+    def use_everything(self, seconds) -> None:
+        world = self.world
+        for number in (0, 1, 2):
+            if number not in self.frozen:
+                world.use_all(world.routers[number])
+                world.renew(world.routers[number])
+        world.now += seconds
+
+    @invariant()
+    def is_never_overspent(self) -> None:
+        world = self.world
+        assert world.consumed <= world.paid, 'overspent'
+        assert check_budget(world.shard.budget), 'overleased'
+
+
+LeaseCase = LeaseMachine.TestCase
--- /dev/null
+++ b/tools/mutations.py
@@ -0,0 +1,129 @@
+"""Rules of the product, each broken on purpose in one place."""
+
+from typing import Final, NamedTuple
+
+_INTERNAL: Final = 'dykemast/_internal'
+
+
+class Mutation(NamedTuple):
+    """One broken rule.
+
+    :param name: short name.
+    :param promise: what of the brief it breaks.
+    :param path: file below ``src``.
+    :param old: text to replace; it stands there exactly once.
+    :param new: text to put there.
+    :param test: test that must fail.
+    """
+
+    name: str
+    promise: str
+    path: str
+    old: str
+    new: str
+    test: str
+
+
+_OVERSPEND: Final = 'spend never exceeds the budget'
+_LEASES: Final = 'test_lease_fuzz'
+_DEATH: Final = 'test_lease_death'
+
+#: All mutations.
+MUTATIONS: Final = (
+    Mutation(
+        'grant more than is free',
+        _OVERSPEND,
+        f'{_INTERNAL}/operations/lease_grant.py',
+        'return min(wanted, before + count_free(budget))',
+        'return wanted',
+        _LEASES,
+    ),
+    Mutation(
+        'use the whole lease at once',
+        _OVERSPEND,
+        f'{_INTERNAL}/operations/holder.py',
+        'if now < self._unlock_at:',
+        'if now < 0:',
+        _DEATH,
+    ),
+    Mutation(
+        'forget armed levels that are not acknowledged',
+        _OVERSPEND,
+        f'{_INTERNAL}/operations/holder.py',
+        'armed = [plan.armed for plan in self._pending]',
+        'armed: list[int] = []',
+        _DEATH,
+    ),
+    Mutation(
+        'forget returns that are not acknowledged',
+        _OVERSPEND,
+        f'{_INTERNAL}/operations/holder.py',
+        'kept = [plan.keep for plan in self._pending]',
+        'kept: list[int] = []',
+        _LEASES,
+    ),
+    Mutation(
+        'apply intents that come late',
+        _OVERSPEND,
+        f'{_INTERNAL}/operations/budget_shard.py',
+        'return row.seq >= intent.seq',
+        'return False',
+        _LEASES,
+    ),
+    Mutation(
+        'open a lease again that was closed',
+        _OVERSPEND,
+        f'{_INTERNAL}/operations/budget_shard.py',
+        'return intent.seq > 1',
+        'return False',
+        _LEASES,
+    ),
+    Mutation(
+        'charge only the armed part of any lost lease',
+        _OVERSPEND,
+        f'{_INTERNAL}/operations/reclaim.py',
+        'return oldest is None or oldest <= limit',
+        'return False',
+        _DEATH,
+    ),
+    Mutation(
+        'bound the age of an intent by its own version',
+        _OVERSPEND,
+        f'{_INTERNAL}/operations/reclaim.py',
+        'if read.version < seen]',
+        'if read.version >= seen]',
+        _LEASES,
+    ),
+    Mutation(
+        'take silence for death',
+        _OVERSPEND,
+        f'{_INTERNAL}/operations/reclaim.py',
+        'if row.instance in census.gone:',
+        'if row.instance:',
+        _DEATH,
+    ),
+    Mutation(
+        'add a top-up again',
+        _OVERSPEND,
+        f'{_INTERNAL}/operations/budget_shard.py',
+        'if intent.topup in budget.topups:',
+        'if not intent.topup:',
+        _LEASES,
+    ),
+    Mutation(
+        'lend without counting it as spent',
+        _OVERSPEND,
+        f'{_INTERNAL}/operations/holder.py',
+        'self.usage.spent += given',
+        'self.usage.spent += 0',
+        _LEASES,
+    ),
+    Mutation(
+        'do not count open holds',
+        _OVERSPEND,
+        f'{_INTERNAL}/operations/holder.py',
+        'return self.spent + self.held',
+        'return self.spent',
+        _LEASES,
+    ),
+)
