Prove the promises over real processes: kill, freeze, outage, lost answers

Cause: the fuzzers prove the decisions; what carries them out was unproved. With a keeper frozen by SIGSTOP, test_frozen_router_does_no_harm failed first: calls that may not be repeated were refused (503), because the wait for the keeper (3 s) was longer than the wait of the claim (1 s).

Ruled out: the platform (it answered all along), the claim itself (written as soon as the keeper was passed over).

Change: a keeper gets 0.8 s, and one that did not answer is passed over for 5 s; the conditional update still decides who writes.

--- a/src/dykemast/_internal/controllers/journal.py
+++ b/src/dykemast/_internal/controllers/journal.py
@@ -11,7 +11,7 @@
 from dykemast._internal.operations.rendezvous import choose_shard
 
 #: Seconds that an entry waits for the journal.
-APPEND_TIMEOUT: Final = 1.0
+APPEND_TIMEOUT: Final = 2.5
 #: Seconds for which the journal counts as away after a failure.
 AWAY_TIME: Final = 2.0
 
--- a/src/dykemast/_internal/controllers/keepers.py
+++ b/src/dykemast/_internal/controllers/keepers.py
@@ -21,8 +21,11 @@
 
 _log = logbook.Logger('keeper')
 
-#: Seconds to wait for a keeper: a little longer than an intent lives there.
-KEEPER_TIMEOUT: Final = 3.0
+#: Seconds to wait for a keeper. A frozen one must not use up the time of
+#: those who wait for their claim or for room in their budget.
+KEEPER_TIMEOUT: Final = 0.8
+#: Seconds for which a keeper that did not answer is passed over.
+AVOID_TIME: Final = 5.0
 
 
 class LedgerKind(NamedTuple):
@@ -58,6 +61,7 @@
         self._kinds = kinds
         self._open: dict[str, GroupCommit] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._avoided: dict[str, float] = {}
 
     async def commit(self, ledger: str, intents: list[Any]) -> list[Any]:
         """Have intents written by the shard's keeper.
@@ -77,7 +81,8 @@
                 view.card, 'commit', (ledger, body), KEEPER_TIMEOUT
             )
         except PeerError as error:
-            _log.info('keeper: {} writes itself: {}', ledger, error)
+            self._avoided[view.card.instance] = time.monotonic() + AVOID_TIME
+            _log.info('keeper: {} is written here: {}', ledger, error)
             return await self.commit_here(ledger, intents)
         return self._find_kind(ledger).decode_acks(acks)
 
@@ -113,7 +118,12 @@
         :param ledger: name of the shard.
         :returns: its instance id.
         """
-        keepers = list_keepers(self._board, time.monotonic())
+        now = time.monotonic()
+        keepers = [
+            name
+            for name in list_keepers(self._board, now)
+            if self._avoided.get(name, 0) < now
+        ]
         return choose_keeper(ledger, keepers)
 
     def close(self) -> None:
--- /dev/null
+++ b/tests/functional/test_outages.py
@@ -0,0 +1,76 @@
+"""The platform away, slow, or losing answers after it has written."""
+
+import json
+
+from tests.lib.caller import ask_chat, ask_service
+from tests.lib.fixtures import (
+    ask_caller_api,
+    count_bills,
+    count_calls,
+    make_fleet,
+    wait_until,
+)
+from tools.fleet import Fleet, call_admin, control, top_up
+
+
+def ask_whole(fleet: Fleet, key: str) -> None:
+    answer = ask_chat(fleet, int(key[-1]) % 3, 'hi stop=3', key=key)
+    assert answer.status == 200, answer.text
+
+
+def test_work_goes_on_while_the_platform_is_away() -> None:
+    fleet = make_fleet()
+    keys = [f'out{number}' for number in range(9)]
+    for warm in (0, 1, 2) * 3:
+        ask_chat(fleet, warm, 'hi stop=3')
+    control(fleet.layout.platform_port, away=True)
+    for key in keys:
+        ask_whole(fleet, key)
+    # Bills that only memory holds survive the death of their router.
+    fleet.running['router-0'].kill()
+    control(fleet.layout.platform_port, away=False)
+    assert wait_until(lambda: count_bills(fleet, keys) == {1})
+
+
+def test_an_order_is_refused_at_once_in_an_outage() -> None:
+    fleet = make_fleet()
+    control(fleet.layout.platform_port, away=True)
+    refused = ask_service(fleet, 0, 'orders/a', key='order')
+    assert refused.status == 503
+    assert json.loads(refused.text)['error']['ran'] == 'no'
+    assert int(refused.headers['retry-after'])
+    assert 'order' not in count_calls(fleet)
+
+
+def test_lost_answers_change_nothing() -> None:
+    fleet = make_fleet()
+    platform = fleet.layout.platform_port
+    control(platform, lose=6)
+    keys = [f'lost{number}' for number in range(12)]
+    for number, key in enumerate(keys):
+        assert ask_service(fleet, number % 3, 'orders/a', key).status == 200
+    assert count_bills(fleet, keys) == {1}
+    before = call_admin(fleet, '/admin/budgets')[0]['paid']
+    control(platform, lose=2)
+    for _ in range(3):
+        top_up(fleet, 'curitiba/main', 1000, 'twice')
+    assert call_admin(fleet, '/admin/budgets')[0]['paid'] == before + 1000
+
+
+def test_a_router_started_in_an_outage_learns_from_peers() -> None:
+    fleet = make_fleet()
+    platform = fleet.layout.platform_port
+    # It reads the list, and then nothing more.
+    fleet.running['router-2'].kill()
+    fleet.running['router-2'].wait()
+    fleet.start_router(fleet.layout.routers[2])
+    control(platform, away=True)
+
+    def knows() -> bool:
+        try:
+            return bool(ask_caller_api(fleet, 2, '/v1/models'))
+        except OSError:
+            return False
+
+    # Peers know its address and bring it the news.
+    assert wait_until(knows)
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -1,23 +1,16 @@
 """The whole path, over processes of their own on loopback."""
 
 import json
-from typing import Any
 
 from tests.lib.caller import ask_chat, ask_service
-from tests.lib.fixtures import start_fleet
+from tests.lib.fixtures import find_bills, start_fleet
 from tools.calls import call
-from tools.fleet import call_admin
 from tools.layout import HOST
 
 
 WORDS = ('w0 ', 'w1 ', 'w2 ', 'w3 ')
 
 
-def find_bills(key: str) -> list[dict[str, Any]]:
-    bills = call_admin(start_fleet(), '/admin/bills?workspace=joinville')
-    return [bill for bill in bills if bill['key'] == f'joinville|{key}']
-
-
 def read_word(event: str) -> str:
     piece = json.loads(event.removeprefix('data: '))
     return piece['choices'][0]['delta']['content']
@@ -37,7 +30,7 @@
     assert events[-1] == 'data: [DONE]'
     usage = json.loads(events[-2].removeprefix('data: '))['usage']
     assert tuple(map(read_word, events[:-2])) == WORDS
-    bills = find_bills('s1')
+    bills = find_bills(start_fleet(), 's1')
     assert [bill['tokens'] for bill in bills] == [usage['total_tokens']]
 
 
@@ -46,7 +39,7 @@
     second = ask_chat(start_fleet(), 1, 'hi stop=2', key='r1')
     assert first.headers['x-bill'] == 'ours'
     assert second.headers['x-bill'] == 'finished'
-    assert len(find_bills('r1')) == 1
+    assert len(find_bills(start_fleet(), 'r1')) == 1
 
 
 def test_call_that_may_not_be_repeated_runs_once() -> None:
--- a/tests/lib/fixtures.py
+++ b/tests/lib/fixtures.py
@@ -2,9 +2,13 @@
 
 import atexit
 import functools
+import time
+from collections.abc import Callable
+from typing import Any
 
-from tools.fleet import Fleet
-from tools.layout import plan_layout
+from tools.calls import call
+from tools.fleet import Fleet, call_admin
+from tools.layout import HOST, plan_layout
 
 
 @functools.cache
@@ -14,3 +18,45 @@
     atexit.register(fleet.stop)
     fleet.start()
     return fleet
+
+
+def make_fleet(routers: int = 3) -> Fleet:
+    """Start a fleet that one test may break."""
+    fleet = Fleet(plan_layout(routers=routers, engines=2))
+    atexit.register(fleet.stop)
+    fleet.start()
+    return fleet
+
+
+def find_bills(fleet: Fleet, key: str, router: int = 1) -> list[dict]:
+    """Find the bills under one idempotency key of ``joinville``."""
+    path = '/admin/bills?workspace=joinville'
+    bills = call_admin(fleet, path, None, router)
+    return [bill for bill in bills if bill['key'] == f'joinville|{key}']
+
+
+def wait_until(is_done: Callable[[], bool], patience: float = 20) -> bool:
+    """Wait for something to become true."""
+    limit = time.monotonic() + patience
+    while time.monotonic() < limit:
+        if is_done():
+            return True
+        time.sleep(0.1)
+    return False
+
+
+def ask_caller_api(fleet: Fleet, router: int, path: str) -> Any:
+    """Get something from a router's address for callers."""
+    port = fleet.layout.routers[router].caller_port
+    return call(f'http://{HOST}:{port}{path}')
+
+
+def count_calls(fleet: Fleet) -> dict[str, int]:
+    """Count the runs at the plain service by idempotency key."""
+    port = fleet.layout.plains[0].port
+    return call(f'http://{HOST}:{port}/counts')
+
+
+def count_bills(fleet: Fleet, keys: list[str]) -> set[int]:
+    """Count how often keys were billed; ``{1}`` when each was once."""
+    return {len(find_bills(fleet, key)) for key in keys}
--- /dev/null
+++ b/tests/lib/streams.py
@@ -0,0 +1,41 @@
+"""Streams that a test reads piece by piece."""
+
+import json
+from http import client
+from typing import Any
+
+from tools.fleet import Fleet
+from tools.layout import HOST
+
+
+def open_stream(
+    fleet: Fleet,
+    router: int,
+    prompt: str,
+    key: str,
+) -> tuple[client.HTTPConnection, client.HTTPResponse]:
+    """Begin a streamed chat completion."""
+    port = fleet.layout.routers[router].caller_port
+    connection = client.HTTPConnection(HOST, port, timeout=30)
+    body: dict[str, Any] = {
+        'model': 'tiny-1',
+        'stream': True,
+        'messages': [{'role': 'user', 'content': prompt}],
+    }
+    headers = {
+        'authorization': 'Bearer joinville-key',
+        'idempotency-key': key,
+    }
+    path = '/v1/chat/completions'
+    connection.request('POST', path, json.dumps(body), headers)
+    return connection, connection.getresponse()
+
+
+def read_rest(response: client.HTTPResponse) -> bytes:
+    """Read to the end, or to where the connection breaks."""
+    try:
+        return response.read()
+    except client.IncompleteRead as error:
+        return error.partial
+    except OSError:
+        return b''
