--- a/src/dykemast/_internal/controllers/assembly.py
+++ b/src/dykemast/_internal/controllers/assembly.py
@@ -17,6 +17,7 @@
 )
 from dykemast._internal.controllers.ledger_kinds import make_kinds
 from dykemast._internal.controllers.peer_calls import make_peer_calls
+from dykemast._internal.controllers.retention import Retention
 from dykemast._internal.network.revision_store import RevisionStore
 from dykemast._internal.path.parts import Parts
 
@@ -55,6 +56,7 @@
             self.follower.follow_peers,
             load_reports.LoadReader(board, self.sessions.backends).run,
             reclaims.Reclaims(board, platform, self.keepers).run,
+            Retention(board, platform, self.keepers).run,
         ]
 
     def list_peer_calls(self) -> Any:
@@ -75,7 +77,8 @@
     :returns: its parts.
     """
     opened = sessions.open_sessions(board.settings)
-    kinds = make_kinds(opened.platform)
+    window = board.settings.get('retry_window', 0)
+    kinds = make_kinds(opened.platform, window)
     ways = keepers.Keepers(board, opened.peers, kinds)
     store = RevisionStore(opened.platform)
     return Assembly(
--- a/src/dykemast/_internal/controllers/ledger_kinds.py
+++ b/src/dykemast/_internal/controllers/ledger_kinds.py
@@ -17,10 +17,11 @@
 JOURNAL_PAUSE: Final = 0.14
 
 
-def make_kinds(platform: Platform) -> dict[str, LedgerKind]:
+def make_kinds(platform: Platform, window: float) -> dict[str, LedgerKind]:
     """Describe the kinds of ledgers.
 
     :param platform: session with the platform.
+    :param window: seconds for which the journal knows a key.
     :returns: kinds by the first part of their shards' names.
     """
 
@@ -29,7 +30,7 @@
         return budget_ledger.make_ledger(shard)
 
     def open_journal(name: str) -> Ledger:
-        shard = journal_ledger.JournalShard(platform, name)
+        shard = journal_ledger.JournalShard(platform, name, window)
         return journal_ledger.make_ledger(shard)
 
     return {
--- a/src/dykemast/_internal/controllers/lending.py
+++ b/src/dykemast/_internal/controllers/lending.py
@@ -1,5 +1,6 @@
-"""Lend leased tokens to each other while the platform is away."""
+"""Lend leased tokens to each other, and call idle ones back."""
 
+import asyncio
 import time
 import uuid
 from collections import OrderedDict
@@ -62,6 +63,20 @@
         _log.info('lend: got {} tokens of {}.', got, budget)
         return got
 
+    async def recall(self, budget: str) -> None:
+        """Have peers renew their leases of a budget that runs out here.
+
+        A renewal gives back what is above the holder's fair share, so the
+        last tokens go where they are asked for.
+
+        :param budget: its name.
+        """
+        peers = list_peers(self._board.fleet, time.monotonic())
+        await asyncio.gather(
+            *(self._client.call(card, 'recall', (budget,)) for card in peers),
+            return_exceptions=True,
+        )
+
     async def lend(self, budget: str, tokens: int, transfer: str) -> int:
         """Give tokens to a peer.
 
--- a/src/dykemast/_internal/models/requests.py
+++ b/src/dykemast/_internal/models/requests.py
@@ -85,6 +85,7 @@
     :param repeatable: whether running it twice does no harm.
     :param deadline: seconds on this router's clock by which to be done.
     :param order: requests with the same non-empty key run in order.
+    :param budget: budget that the caller names; the policy decides.
     """
 
     request: str
@@ -93,6 +94,7 @@
     repeatable: bool
     deadline: float
     order: str = ''
+    budget: str = 'main'
 
 
 class Order(NamedTuple):
--- a/src/dykemast/_internal/network/journal_ledger.py
+++ b/src/dykemast/_internal/network/journal_ledger.py
@@ -5,6 +5,8 @@
 its next write instead of writing beside its successor.
 """
 
+import math
+import time
 from typing import Final, NamedTuple
 
 import msgspec
@@ -15,6 +17,7 @@
 from dykemast._internal.operations.journal_merge import (
     Record,
     add_entry,
+    forget_old,
     merge_batch,
 )
 
@@ -42,10 +45,17 @@
 
     :param platform: session with the platform.
     :param name: name of the shard, start of its segments' names.
+    :param window: seconds for which a key is known.
     """
 
-    def __init__(self, platform: Platform, name: str) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        name: str,
+        window: float = math.inf,
+    ) -> None:
         """Start with nothing read."""
+        self._window = window
         self.records: dict[str, Record] = {}
         self._platform = platform
         self._name = name
@@ -102,6 +112,7 @@
             self._sealed.add(name)
             self._next = number + 1
             self._tail = Tail(self._next)
+            forget_old(self.records, time.time() - self._window)
         else:
             self._tail = Tail(number, version, tuple(segment.entries))
 
--- a/src/dykemast/_internal/operations/holder.py
+++ b/src/dykemast/_internal/operations/holder.py
@@ -25,8 +25,8 @@
 RENEW_INTERVAL: Final = 2.0
 #: Weight of a new hold in the running mean of hold sizes.
 GRAIN_WEIGHT: Final = 0.1
-#: A surplus over the target below this share of it is not given back.
-RETURN_SLACK: Final = 1.1
+#: A surplus below this share of what should be held is not given back.
+RETURN_SLACK: Final = 0.1
 
 
 #: Seconds beyond the list's lag within which a death is noticed.
@@ -124,7 +124,7 @@
             holder=self.owner.holder,
             instance=self.owner.instance,
             seq=self.lease.seq + 1,
-            keep=self.lease.choose_keep(floor),
+            keep=self.lease.choose_keep(usage),
             # What waits is about to be used: a renewal must not disarm it.
             armed=floor
             + usage.waiting
@@ -258,16 +258,17 @@
         kept = [plan.keep for plan in self._pending]
         return min(self.ack.allotted, *kept) if kept else self.ack.allotted
 
-    def choose_keep(self, floor: int) -> int:
+    def choose_keep(self, usage: Usage) -> int:
         """Choose the allotment to insist on: less when too much is held.
 
-        :param floor: net tokens in use.
+        :param usage: what is in use.
         :returns: tokens.
         """
         if self.ack is None:
             return 0
-        target = max(self.ack.target, floor)
-        if self.ack.allotted > target * RETURN_SLACK:
+        target = max(self.ack.target, usage.count_floor() + usage.waiting)
+        surplus = self.ack.allotted - target
+        if surplus > (target - usage.spent) * RETURN_SLACK:
             return target
         return self.ack.allotted
 
@@ -282,7 +283,6 @@
         :param now: seconds.
         :returns: the intent as it is to be sent.
         """
-        kept = max(plan.keep, plan.floor)
         if not self._pending:
             self._first_unanswered = now
         silent = self.ack is not None and now > self._silent_from()
@@ -290,7 +290,9 @@
             kept = min([self.ack.allotted, *self._list_kept()])
             plan = plan._replace(keep=kept, armed=kept)
         else:
-            plan = plan._replace(keep=max(kept, plan.armed))
+            if self.ack and plan.keep < self.ack.allotted:
+                # What is given back must not stay armed.
+                plan = plan._replace(armed=min(plan.armed, plan.keep))
             self._unlock_at = now + self.terms.arming_delay
         self.seq = plan.seq
         self.renewed_at = now
--- a/src/dykemast/_internal/operations/journal_merge.py
+++ b/src/dykemast/_internal/operations/journal_merge.py
@@ -49,6 +49,21 @@
         records[entry.key] = record._replace(finish=record.finish or entry)
 
 
+def forget_old(records: dict[str, Record], before: float) -> None:
+    """Drop what is older than the retry window from the index.
+
+    :param records: the index, changed in place.
+    :param before: seconds since 1970.
+    """
+    old = [
+        key
+        for key, record in records.items()
+        if all(entry.at < before for entry in record if entry)
+    ]
+    for key in old:
+        records.pop(key)
+
+
 def merge_batch(records: dict[str, Record], batch: list[Entry]) -> Merged:
     """Decide which entries of a batch stand.
 
--- a/src/dykemast/_internal/operations/policy_check.py
+++ b/src/dykemast/_internal/operations/policy_check.py
@@ -47,6 +47,7 @@
     counts = {model['name']: 1 for model in configuration['models']}
     request = {
         'model': 'sample',
+        'budget': 'main',
         'method': 'POST',
         'stream': True,
         'repeatable': True,
--- a/src/dykemast/_internal/path/admission.py
+++ b/src/dykemast/_internal/path/admission.py
@@ -7,22 +7,22 @@
 from starlette.requests import Request
 
 from dykemast._internal.blackboard import Blackboard
-from dykemast._internal.models.requests import Ask, Code, Refusal
+from dykemast._internal.models.requests import Ask, Code, Ran, Refusal
 from dykemast._internal.models.revisions import Configuration, WorkspaceSpec
+from dykemast._internal.operations.policies import DEFAULT_BUDGET
+from dykemast._internal.path import header_fields as fields
 from dykemast._internal.path.parts import RefusedError
+from dykemast._internal.path.retry_age import is_too_old
 from dykemast._internal.utils.keys import hash_bearer, is_same
 
 #: Requests of one workspace in progress at one router, where not set.
 DEFAULT_CONCURRENT: Final = 512
 #: Requests in progress at one router at most.
 MAX_INFLIGHT: Final = 4096
-#: Seconds that a request may take when it names no deadline, and at most.
-MAX_DEADLINE: Final = 600.0
 #: Seconds after which a caller that was refused for load should come back.
 BUSY_RETRY: Final = 2
 #: Seconds after which a router that just started should be ready.
 READY_RETRY: Final = 3
-_MAX_KEY: Final = 200
 
 
 def find_configuration(board: Blackboard) -> Configuration:
@@ -60,9 +60,16 @@
     return found
 
 
-def make_ask(workspace: str, request: Request, *, safe: bool) -> Ask:
+def make_ask(
+    board: Blackboard,
+    workspace: str,
+    request: Request,
+    *,
+    safe: bool,
+) -> Ask:
     """Read what the headers ask for.
 
+    :param board: the blackboard.
     :param workspace: who asks.
     :param request: the caller's request, with the id given to it.
     :param safe: whether it may be repeated unless marked otherwise.
@@ -73,16 +80,20 @@
     name = request.state.request_id
     key = headers.get('idempotency-key', name)
     order = headers.get('x-order-key', '')
-    if not _is_key(key) or not _is_key(order):
-        text = f'Idempotency-Key and X-Order-Key take {_MAX_KEY} characters.'
+    if not fields.is_key(key) or not fields.is_key(order):
+        text = (
+            f'Idempotency-Key and X-Order-Key take {fields.MAX_KEY} characters.'
+        )
         raise RefusedError(Refusal(Code.bad_request, text))
+    _check_age(board, headers, key)
     return Ask(
         request=name,
         workspace=workspace,
         key=key,
-        repeatable=_read_repeatable(headers, safe=safe),
-        deadline=time.monotonic() + _read_deadline(headers),
+        repeatable=fields.read_repeatable(headers, safe=safe),
+        deadline=time.monotonic() + fields.read_deadline(headers),
         order=f'{workspace}|{order}' if order else '',
+        budget=headers.get('x-budget', DEFAULT_BUDGET),
     )
 
 
@@ -103,28 +114,8 @@
         raise RefusedError(Refusal(Code.too_busy, text, retry_after=BUSY_RETRY))
 
 
-def _is_key(text: str) -> bool:
-    return len(text) <= _MAX_KEY and text.isprintable()
-
-
-def _read_repeatable(headers: Headers, *, safe: bool) -> bool:
-    mark = headers.get('x-repeatable', '').lower()
-    if mark not in {'', 'yes', 'no'}:
-        text = 'X-Repeatable is "yes" or "no".'
-        raise RefusedError(Refusal(Code.bad_request, text))
-    return mark == 'yes' or (not mark and safe)
-
-
-def _read_deadline(headers: Headers) -> float:
-    text = headers.get('x-deadline', str(MAX_DEADLINE))
-    try:
-        seconds = float(text)
-    except ValueError as error:
-        refusal = Refusal(Code.bad_request, 'X-Deadline is in seconds.')
-        raise RefusedError(refusal) from error
-    if not 0 < seconds <= MAX_DEADLINE:
-        refusal = Refusal(
-            Code.bad_request, f'X-Deadline is 0 to {MAX_DEADLINE} seconds.'
-        )
-        raise RefusedError(refusal)
-    return seconds
+def _check_age(board: Blackboard, headers: Headers, key: str) -> None:
+    window = board.settings.get('retry_window', 0)
+    if is_too_old(headers, key, time.time() - window):
+        text = f'First sent over {window} s ago: look before asking again.'
+        raise RefusedError(Refusal(Code.too_old, text, Ran.unknown))
--- a/src/dykemast/_internal/path/calls.py
+++ b/src/dykemast/_internal/path/calls.py
@@ -28,7 +28,7 @@
     """
     workspace = admission.find_workspace(parts.board, request.headers)
     safe = request.method in _SAFE_METHODS
-    ask = admission.make_ask(workspace['name'], request, safe=safe)
+    ask = admission.make_ask(parts.board, workspace['name'], request, safe=safe)
     service = _find_service(parts, request.path_params['service'])
     order = _make_order(service, request)._replace(body=body)
     admission.check_room(parts.board, workspace)
@@ -90,6 +90,7 @@
     await job.wait_turn()
     seen: dict[str, Any] = {
         'model': order.service,
+        'budget': job.ask.budget,
         'method': order.method,
         'repeatable': job.ask.repeatable,
         'bytes': len(order.body),
--- a/src/dykemast/_internal/path/chat.py
+++ b/src/dykemast/_internal/path/chat.py
@@ -31,7 +31,7 @@
     :raises RefusedError: when it is refused.
     """
     workspace = admission.find_workspace(parts.board, request.headers)
-    ask = admission.make_ask(workspace['name'], request, safe=True)
+    ask = admission.make_ask(parts.board, workspace['name'], request, safe=True)
     fields = read_chat(body)
     admission.check_room(parts.board, workspace)
     job = Job(parts, ask)
@@ -55,6 +55,7 @@
     await job.wait_turn()
     seen = {
         'model': fields['model'],
+        'budget': job.ask.budget,
         'stream': bool(fields.get('stream')),
         'repeatable': job.ask.repeatable,
         'bytes': len(str(fields['messages'])),
--- /dev/null
+++ b/src/dykemast/_internal/path/header_fields.py
@@ -0,0 +1,58 @@
+"""Headers by which callers say how a request may run."""
+
+from typing import Final
+
+from starlette.datastructures import Headers
+
+from dykemast._internal.models.requests import Code, Refusal
+from dykemast._internal.path.parts import RefusedError
+
+#: Seconds that a request may take when it names no deadline, and at most.
+MAX_DEADLINE: Final = 600.0
+#: Characters of a key at most.
+MAX_KEY: Final = 200
+
+
+def is_key(text: str) -> bool:
+    """Tell whether a text can be a key.
+
+    :param text: from a header.
+    :returns: whether it can.
+    """
+    return len(text) <= MAX_KEY and text.isprintable()
+
+
+def read_repeatable(headers: Headers, *, safe: bool) -> bool:
+    """Read whether a request may be repeated.
+
+    :param headers: of the request.
+    :param safe: whether it may unless marked otherwise.
+    :returns: whether it may.
+    :raises RefusedError: when the mark makes no sense.
+    """
+    mark = headers.get('x-repeatable', '').lower()
+    if mark not in {'', 'yes', 'no'}:
+        text = 'X-Repeatable is "yes" or "no".'
+        raise RefusedError(Refusal(Code.bad_request, text))
+    return mark == 'yes' or (not mark and safe)
+
+
+def read_deadline(headers: Headers) -> float:
+    """Read how long a request may take.
+
+    :param headers: of the request.
+    :returns: seconds.
+    :raises RefusedError: when the header makes no sense.
+    """
+    text = headers.get('x-deadline', str(MAX_DEADLINE))
+    try:
+        seconds = float(text)
+    except ValueError as error:
+        refusal = Refusal(Code.bad_request, 'X-Deadline is in seconds.')
+        raise RefusedError(refusal) from error
+    if not 0 < seconds <= MAX_DEADLINE:
+        refusal = Refusal(
+            Code.bad_request, f'X-Deadline is 0 to {MAX_DEADLINE} seconds.'
+        )
+        raise RefusedError(refusal)
+    return seconds
--- a/src/dykemast/_internal/path/holds.py
+++ b/src/dykemast/_internal/path/holds.py
@@ -6,8 +6,9 @@
 
 import logbook
 
-from dykemast._internal.models.requests import Ask, Code, Ran, Refusal
+from dykemast._internal.models.requests import Ask
 from dykemast._internal.operations.holder import Holder, LeaseTerms
+from dykemast._internal.path.hold_refusals import is_empty, refuse_hold
 from dykemast._internal.path.jobs import Hold
 from dykemast._internal.path.parts import Parts, RefusedError
 
@@ -15,10 +16,6 @@
 
 #: Seconds that a request waits for tokens of its budget at most.
 HOLD_WAIT: Final = 2.0
-#: Seconds after which coming back may help when the platform is away.
-AWAY_RETRY: Final = 5
-#: Seconds after which coming back may help when a budget is empty.
-EMPTY_RETRY: Final = 60
 
 
 class Wanted(NamedTuple):
@@ -74,36 +71,24 @@
             await parts.leases.wait_news(limit - time.monotonic())
             if _take(holder, tokens) or await _borrow(parts, holder, tokens):
                 return
-            if _is_empty(holder, tokens):
+            if is_empty(holder, tokens):
                 break
-    raise RefusedError(_refuse(parts, holder, tokens))
+            await _recall(parts, holder)
+    raise RefusedError(refuse_hold(parts, holder, tokens))
 
 
 def _take(holder: Holder, tokens: int) -> bool:
     return holder.take_hold(tokens, time.monotonic())
 
 
+async def _recall(parts: Parts, holder: Holder) -> None:
+    renewer = parts.leases.find_renewer(holder.owner.budget)
+    if holder.lease.ack and not renewer.away:
+        await parts.lending.recall(holder.owner.budget)
+
+
 async def _borrow(parts: Parts, holder: Holder, tokens: int) -> bool:
     if not parts.leases.find_renewer(holder.owner.budget).away:
         return False
     holder.borrow(await parts.lending.borrow(holder.owner.budget, tokens))
     return _take(holder, tokens)
-
-
-def _is_empty(holder: Holder, tokens: int) -> bool:
-    ack = holder.lease.ack
-    return ack is not None and ack.unspent < tokens
-
-
-def _refuse(parts: Parts, holder: Holder, tokens: int) -> Refusal:
-    budget = holder.owner.budget
-    if _is_empty(holder, tokens):
-        text = f'Budget {budget} has no {tokens} tokens left; top it up.'
-        return Refusal(
-            Code.budget_empty, text, Ran.not_run, retry_after=EMPTY_RETRY
-        )
-    if not parts.leases.find_renewer(budget).away:
-        text = f'The last tokens of {budget} are held by other requests.'
-        return Refusal(Code.budget_away, text, retry_after=1)
-    text = f'No tokens of {budget} here while the platform is away.'
-    return Refusal(Code.budget_away, text, retry_after=AWAY_RETRY)
--- a/src/dykemast/_internal/path/orders.py
+++ b/src/dykemast/_internal/path/orders.py
@@ -33,6 +33,7 @@
         'trailer',
         'transfer-encoding',
         'upgrade',
+        'x-budget',
         'x-deadline',
         'x-order-key',
         'x-priority',
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -59,6 +59,9 @@
             raise PlatformAwayError('lost')
         return mark
 
+    async def delete(self, name: str, version: int) -> None:
+        assert self.store.pop(name).version == version
+
     def apply(self, write: Write) -> int:
         """Let a write take effect, if its version still fits."""
         before = self.store.get(write.name, Stored(b'', 0))
--- a/tools/files.py
+++ b/tools/files.py
@@ -59,7 +59,7 @@
             {
                 'name': 'counter',
                 'allow': 'request.bytes < 100000',
-                'budgets': "['main']",
+                'budgets': '[request.budget]',
             }
         ],
     }
