--- a/src/dykemast/_internal/operations/routing.py
+++ b/src/dykemast/_internal/operations/routing.py
@@ -1,19 +1,29 @@
 """Which worker gets a request."""
 
+import functools
 import random
 from typing import Final, NamedTuple
 
 from dykemast._internal.models.fleet import Instance, LoadReport
-from dykemast._internal.operations.rendezvous import choose_keeper
+from dykemast._internal.operations.rendezvous import hash_text
 
 #: Seconds after which a load report counts half.
 REPORT_HALF_LIFE: Final = 1.0
+#: Workers drawn at random for one request.
+MAX_DRAWN: Final = 3
+#: Workers whose hashes are kept.
+MAX_NAMES: Final = 4096
 #: Requests by which the worker that has the prefix may be busier.
 AFFINITY_SLACK: Final = 4.0
 #: Requests that a worker in another hall counts as busier.
 HALL_COST: Final = 3.0
 
 
+# An odd multiplier with well-spread bits, and the bits of a word.
+_MIXER: Final = 0x9E3779B97F4A7C15
+_WORD_BITS: Final = 64
+
+
 class Candidate(NamedTuple):
     """A worker that could run a request.
 
@@ -63,39 +73,42 @@
     ranking: Ranking,
     chance: random.Random,
 ) -> list[Candidate]:
-    """Put workers in the order in which they should be tried.
+    """Choose the workers to try, in order.
 
-    The worker with the prompt's prefix comes first unless it is much busier;
-    else the less busy of two that are drawn at random.
+    The worker with the prompt's prefix comes first unless it is much busier
+    than two that are drawn at random; else the less busy of these. Only a
+    few are looked at: with 840 workers, weighing all took 3 ms a request.
 
     :param candidates: workers that could run the request.
     :param ranking: what the order depends on.
     :param chance: source of randomness.
-    :returns: the same workers in order.
+    :returns: a few of them, in order.
     """
-    if not candidates:
-        return []
-    loads = {
-        one.instance.name: estimate_load(one, ranking) for one in candidates
-    }
-    ranked = sorted(candidates, key=lambda one: loads[one.instance.name])
-    first = _find_affine(ranked, loads, ranking.prefix)
-    if first is None:
-        drawn = chance.sample(ranked, min(2, len(ranked)))
-        first = min(drawn, key=lambda one: loads[one.instance.name])
-    ranked.remove(first)
-    return [first, *ranked]
+    drawn = chance.sample(candidates, min(MAX_DRAWN, len(candidates)))
+    drawn.sort(key=lambda one: estimate_load(one, ranking))
+    affine = _find_affine(candidates, ranking.prefix)
+    if affine is None:
+        return drawn
+    limit = estimate_load(drawn[0], ranking) + AFFINITY_SLACK
+    if estimate_load(affine, ranking) > limit:
+        return drawn
+    return [affine, *(one for one in drawn if one is not affine)]
 
 
 def _find_affine(
-    ranked: list[Candidate],
-    loads: dict[str, float],
+    candidates: list[Candidate],
     prefix: int,
 ) -> Candidate | None:
-    if not prefix:
-        return None
-    names = [one.instance.name for one in ranked]
-    name = choose_keeper(str(prefix), names)
-    if loads[name or ''] > loads[names[0]] + AFFINITY_SLACK:
+    if not prefix or not candidates:
         return None
-    return ranked[names.index(name or '')]
+    return max(candidates, key=lambda one: _mix(prefix, one.instance.name))
+
+
+def _mix(prefix: int, name: str) -> int:
+    """Mix two hashes; cheap, and the same on every router."""
+    return (prefix ^ _hash_name(name)) * _MIXER % (1 << _WORD_BITS)
+
+
+@functools.lru_cache(maxsize=MAX_NAMES)
+def _hash_name(name: str) -> int:
+    return hash_text(name)
