--- a/src/dykemast/_internal/controllers/news.py
+++ b/src/dykemast/_internal/controllers/news.py
@@ -78,6 +78,9 @@
             )
         except DykemastError as error:
             _log.debug('member: {}', error)
+            # Callers and keepers' duties go elsewhere at once; the next
+            # heartbeat, from itself or by hearsay, brings it back.
+            peers.note_silence(self._board.fleet, card.instance)
             return
         await self.take_news(news)
 
--- a/src/dykemast/_internal/operations/peers.py
+++ b/src/dykemast/_internal/operations/peers.py
@@ -1,5 +1,6 @@
 """What is believed about other routers, from news that lag."""
 
+import math
 import random
 from typing import Final
 
@@ -50,6 +51,17 @@
     fleet.peers[card.instance] = PeerView(card, beat, now)
 
 
+def note_silence(fleet: Fleet, instance: str) -> None:
+    """Note that a peer did not answer; it counts as unreachable for now.
+
+    :param fleet: section of the blackboard, changed in place.
+    :param instance: the peer's instance id.
+    """
+    view = fleet.peers.get(instance)
+    if view:
+        view.heard_at = -math.inf
+
+
 def _is_superseded(fleet: Fleet, card: PeerCard) -> bool:
     newest = fleet.incarnations.get(card.instance)
     return newest is not None and newest != card.incarnation
--- a/tools/measure_slopes.py
+++ b/tools/measure_slopes.py
@@ -1,9 +1,11 @@
 """Slopes for docs/CAPACITY.md: cost of one more budget, peer, key, worker."""
 
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
+import msgspec
+
 from tools import slope_times as times
 from tools import slope_worlds as worlds
 
@@ -22,7 +24,7 @@
         *times.time_journal(),
         *times.time_news(),
         *times.time_routing(),
-        *times.time_revision(),
+        *time_revision(),
     ]
     return [{'figure': 'slope', **slope._asdict()} for slope in slopes]
 
@@ -41,3 +43,17 @@
     # Whatever was made has to be there while it is weighed.
     assert made is not None
     return times.Slope(name, 'bytes of memory', size / times.COUNT)
+
+
+def time_revision() -> Iterator[times.Slope]:
+    """Measure configurations."""
+    revision = worlds.make_revision(times.WORKSPACES)
+    body = msgspec.json.encode(revision)
+
+    def decode() -> None:
+        msgspec.json.decode(body, type=type(revision))
+
+    size = len(body) / times.WORKSPACES
+    yield times.Slope('workspace in a revision', times.STORED, size)
+    name = f'revision of {times.WORKSPACES} workspaces read'
+    yield times.Slope(name, times.PROCESSOR, times.clock(decode, 1))
--- a/tools/slope_times.py
+++ b/tools/slope_times.py
@@ -23,8 +23,8 @@
 _TIMES: Final = 100
 _NOW: Final = 1000
 _MICROSECONDS: Final = 1_000_000
-_PROCESSOR: Final = 'us of processor'
-_STORED: Final = 'bytes stored'
+PROCESSOR: Final = 'us of processor'
+STORED: Final = 'bytes stored'
 
 
 class Slope(NamedTuple):
@@ -50,7 +50,7 @@
             ack = apply_intent(budget, plan).ack
             book.take_ack(ack._replace(budget=plan.budget), _NOW)
 
-    yield Slope('renewal of one lease', _PROCESSOR, _clock(renew, COUNT))
+    yield Slope('renewal of one lease', PROCESSOR, clock(renew, COUNT))
 
 
 def weigh_leases() -> Iterator[Slope]:
@@ -61,7 +61,7 @@
     shard = {plan.budget: apply_intent(budget, plan).budget for plan in plans}
     stored = len(msgspec.json.encode(shard)) / COUNT
     yield Slope('intent of one lease', 'bytes sent', size)
-    yield Slope('budget with one lease', _STORED, stored)
+    yield Slope('budget with one lease', STORED, stored)
 
 
 def time_journal() -> Iterator[Slope]:
@@ -72,8 +72,8 @@
         journal_merge.merge_batch({}, entries)
 
     size = len(msgspec.json.encode(entries)) / COUNT
-    yield Slope('merge of one bill', _PROCESSOR, _clock(merge, COUNT))
-    yield Slope('one bill', _STORED, size)
+    yield Slope('merge of one bill', PROCESSOR, clock(merge, COUNT))
+    yield Slope('one bill', STORED, size)
 
 
 def time_news() -> Iterator[Slope]:
@@ -89,7 +89,7 @@
         for beat in range(COUNT):
             peers.note_card(fleet, views[0].card, beat, 2)
 
-    yield Slope('card taken in', _PROCESSOR, _clock(note, COUNT))
+    yield Slope('card taken in', PROCESSOR, clock(note, COUNT))
     yield Slope('news to one peer', 'bytes sent', len(serialize(news)))
 
 
@@ -104,24 +104,16 @@
             routing.rank_workers(candidates, ranking, chance)
 
     name = f'choice among {WORKERS} workers'
-    yield Slope(name, _PROCESSOR, _clock(rank, _TIMES))
+    yield Slope(name, PROCESSOR, clock(rank, _TIMES))
 
 
-def time_revision() -> Iterator[Slope]:
-    """Measure configurations."""
-    revision = worlds.make_revision(WORKSPACES)
-    body = msgspec.json.encode(revision)
+def clock(run: Callable[[], None], count: int) -> float:
+    """Measure the processor time of one of many things.
 
-    def decode() -> None:
-        msgspec.json.decode(body, type=type(revision))
-
-    size = len(body) / WORKSPACES
-    yield Slope('workspace in a revision', _STORED, size)
-    name = f'revision of {WORKSPACES} workspaces read'
-    yield Slope(name, _PROCESSOR, _clock(decode, 1))
-
-
-def _clock(run: Callable[[], None], count: int) -> float:
+    :param run: does all of them.
+    :param count: how many.
+    :returns: microseconds for each.
+    """
     started = time.process_time()
     run()
     return _MICROSECONDS * (time.process_time() - started) / count
