--- a/src/dykemast/_internal/controllers/load_reports.py
+++ b/src/dykemast/_internal/controllers/load_reports.py
@@ -7,14 +7,17 @@
 
 from dykemast._internal.blackboard import Blackboard
 from dykemast._internal.exceptions import UpstreamError
-from dykemast._internal.models.fleet import Instance
+from dykemast._internal.models.fleet import Instance, LoadReport
 from dykemast._internal.models.revisions import ServiceSpec
 from dykemast._internal.network.backends import Backends
 
 _log = logbook.Logger('load')
 
-#: Seconds between two load reports of a worker.
+#: Seconds between two rounds of load reports.
 LOAD_INTERVAL: Final = 1.0
+#: Workers asked in one round, however many there are; the oldest reports
+#: first. What is older counts less when a worker is chosen.
+MAX_ASKED: Final = 32
 
 
 class LoadReader:
@@ -33,7 +36,8 @@
         """Keep the section up to date until cancelled."""
         while True:
             workers = self._list_workers()
-            await asyncio.gather(*(self._read(one) for one in workers))
+            due = choose_due(workers, self._board.loads.reports)
+            await asyncio.gather(*(self._read(one) for one in due))
             names = {instance.name for instance in workers}
             reports = self._board.loads.reports
             for gone in set(reports) - names:
@@ -63,3 +67,18 @@
     def _list_services(self) -> list[ServiceSpec]:
         revision = self._board.rules.revision
         return revision.configuration['services'] if revision else []
+
+
+def choose_due(
+    workers: list[Instance],
+    reports: dict[str, LoadReport],
+) -> list[Instance]:
+    """Choose the workers to ask in this round.
+
+    :param workers: all workers.
+    :param reports: their last reports.
+    :returns: those whose report is oldest, or missing.
+    """
+    return sorted(
+        workers, key=lambda one: reports.get(one.name, LoadReport()).at
+    )[:MAX_ASKED]
--- a/src/dykemast/_internal/controllers/news.py
+++ b/src/dykemast/_internal/controllers/news.py
@@ -17,6 +17,7 @@
 from dykemast._internal.network.peer_client import PeerClient
 from dykemast._internal.operations import peers
 from dykemast._internal.operations.instance_list import ROUTER_ROLE
+from dykemast._internal.operations.news import choose_news
 
 _log = logbook.Logger('member')
 
@@ -89,7 +90,7 @@
         fleet = self._board.fleet
         now = time.monotonic()
         mine = PeerView(peers.make_card(self._board), self._beat, now)
-        views = [mine, *peers.choose_news(fleet, now, self._chance)]
+        views = [mine, *choose_news(fleet, now, self._chance)]
         return peer_codec.peer_thrift.Gossip(
             cards=[peer_codec.pack_view(view) for view in views],
             leaving=sorted(fleet.leaving),
--- a/src/dykemast/_internal/controllers/reclaims.py
+++ b/src/dykemast/_internal/controllers/reclaims.py
@@ -16,6 +16,7 @@
 from dykemast._internal.operations import (
     confirmed_lease,
     instance_list,
+    peers,
     reclaim,
 )
 
@@ -88,13 +89,9 @@
             )
 
     async def _read_incarnations(self, shard: BudgetShard) -> None:
-        instances = {
-            row.instance
-            for budget in shard.budgets.values()
-            for row in budget.rows.values()
-        }
         known = self._board.fleet.incarnations
-        for name in instances:
+        cards = peers.list_cards(self._board, time.monotonic())
+        for name in reclaim.list_suspects(shard.budgets, cards):
             stored = await self._platform.read(MEMBERS + name)
             if stored.body:
                 known[name] = msgspec.json.decode(stored.body, type=str)
--- a/src/dykemast/_internal/models/requests.py
+++ b/src/dykemast/_internal/models/requests.py
@@ -22,7 +22,6 @@
     budget_away = 'budget_away'
     not_allowed = 'not_allowed'
     not_found = 'not_found'
-    in_progress = 'in_progress'
     may_have_run = 'may_have_run'
     already_ran = 'already_ran'
     too_large = 'too_large'
@@ -45,7 +44,6 @@
         Code.budget_away: 503,
         Code.not_allowed: 403,
         Code.not_found: 404,
-        Code.in_progress: 409,
         Code.may_have_run: 409,
         Code.already_ran: 409,
         Code.too_large: 413,
--- a/src/dykemast/_internal/network/admin_views.py
+++ b/src/dykemast/_internal/network/admin_views.py
@@ -12,7 +12,7 @@
     count_free,
     count_unspent,
 )
-from dykemast._internal.operations.peers import list_peers, make_card
+from dykemast._internal.operations.peers import list_cards
 
 
 async def view_budgets(platform: Platform) -> list[dict[str, Any]]:
@@ -68,8 +68,7 @@
     :param board: the blackboard.
     :returns: routers with their revision, and workers with their load.
     """
-    now = time.monotonic()
-    cards = [make_card(board), *list_peers(board.fleet, now)]
+    cards = list_cards(board, time.monotonic())
     return {
         'routers': [card._asdict() for card in cards],
         'workers': [
--- a/src/dykemast/_internal/network/backends.py
+++ b/src/dykemast/_internal/network/backends.py
@@ -1,5 +1,6 @@
 """Sessions with backend servers (docs/backend-servers.md)."""
 
+import asyncio
 import time
 from typing import Any, Final
 
@@ -58,13 +59,7 @@
         """
         session = self._choose_session(repeatable=ask.repeatable)
         try:
-            response = await session.request(
-                order.method,
-                f'http://{instance.host}:{instance.port}{order.path}',
-                data=order.body or None,
-                headers=_make_headers(order, ask),
-                allow_redirects=False,
-            )
+            response = await _request(session, instance, order, ask)
         except aiohttp.ClientConnectorError as error:
             raise UpstreamError(str(error), sent=False) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -106,6 +101,22 @@
         return self._pooled if repeatable else self._single
 
 
+async def _request(
+    session: aiohttp.ClientSession,
+    instance: Instance,
+    order: Order,
+    ask: Ask,
+) -> aiohttp.ClientResponse:
+    async with asyncio.timeout_at(ask.deadline):
+        return await session.request(
+            order.method,
+            f'http://{instance.host}:{instance.port}{order.path}',
+            data=order.body or None,
+            headers=_make_headers(order, ask),
+            allow_redirects=False,
+        )
+
+
 async def _read_fields(call: Any) -> dict[str, Any]:
     async with call as response:
         body = await response.read()
--- a/src/dykemast/_internal/operations/lease_renewal.py
+++ b/src/dykemast/_internal/operations/lease_renewal.py
@@ -11,9 +11,9 @@
 #: Seconds after which a lease that runs short is renewed.
 URGENT_INTERVAL: Final = 0.2
 #: Seconds after which a lease that is not in use is renewed.
-IDLE_INTERVAL: Final = 10.0
+IDLE_INTERVAL: Final = 30.0
 #: Seconds without a request after which a lease is given back.
-IDLE_CLOSE: Final = 300.0
+IDLE_CLOSE: Final = 120.0
 #: Share of the armed margin below which a lease is renewed at once.
 LOW_MARGIN: Final = 0.5
 
--- a/src/dykemast/_internal/operations/peers.py
+++ b/src/dykemast/_internal/operations/peers.py
@@ -1,7 +1,6 @@
 """What is believed about other routers, from news that lag."""
 
 import math
-import random
 from typing import Final
 
 from dykemast._internal.blackboard import Blackboard, Fleet, PeerView
@@ -9,8 +8,6 @@
 
 #: Seconds without a heartbeat after which a peer is taken for unreachable.
 PEER_TIMEOUT: Final = 4.0
-#: Cards of others that one message carries, whatever the fleet's size.
-CARDS_IN_NEWS: Final = 8
 
 
 def make_card(board: Blackboard) -> PeerCard:
@@ -81,33 +78,23 @@
     ]
 
 
-def list_keepers(board: Blackboard, now: float) -> list[str]:
-    """List the routers over which duties are spread.
+def list_cards(board: Blackboard, now: float) -> list[PeerCard]:
+    """List this router and the peers that can be expected to answer.
 
     :param board: the blackboard.
     :param now: seconds.
-    :returns: instance ids, this router's own among them unless it stops.
+    :returns: their cards, this router's own first.
     """
-    cards = [make_card(board), *list_peers(board.fleet, now)]
-    staying = [card.instance for card in cards if not card.leaving]
-    return staying or [board.settings['instance']]
+    return [make_card(board), *list_peers(board.fleet, now)]
 
 
-def choose_news(
-    fleet: Fleet,
-    now: float,
-    chance: random.Random,
-) -> list[PeerView]:
-    """Choose the peers whose cards go into a message.
+def list_keepers(board: Blackboard, now: float) -> list[str]:
+    """List the routers over which duties are spread.
 
-    :param fleet: section of the blackboard.
+    :param board: the blackboard.
     :param now: seconds.
-    :param chance: source of randomness.
-    :returns: a bounded number of peers heard of lately.
+    :returns: instance ids, this router's own among them unless it stops.
     """
-    fresh = [
-        view
-        for view in fleet.peers.values()
-        if now - view.heard_at < PEER_TIMEOUT
-    ]
-    return chance.sample(fresh, min(CARDS_IN_NEWS, len(fresh)))
+    cards = list_cards(board, now)
+    staying = [card.instance for card in cards if not card.leaving]
+    return staying or [board.settings['instance']]
--- a/src/dykemast/_internal/operations/reclaim.py
+++ b/src/dykemast/_internal/operations/reclaim.py
@@ -19,6 +19,7 @@
     LeaseRow,
     ReclaimIntent,
 )
+from dykemast._internal.models.fleet import PeerCard
 
 #: Reads of a shard that a keeper remembers.
 REMEMBERED_READS: Final = 256
@@ -75,6 +76,25 @@
     known_at: float
 
 
+def list_suspects(
+    budgets: dict[str, Budget],
+    cards: list[PeerCard],
+) -> set[str]:
+    """List the instances whose incarnation has to be looked up.
+
+    :param budgets: a shard's budgets by name.
+    :param cards: routers that were heard of lately; what they hold is theirs.
+    :returns: instance ids of all other holders.
+    """
+    heard = {card.incarnation for card in cards}
+    return {
+        row.instance
+        for budget in budgets.values()
+        for row in budget.rows.values()
+        if row.holder.partition('/')[0] not in heard
+    }
+
+
 def is_dead(row: LeaseRow, census: Census) -> bool:
     """Tell whether the holder of a lease is shown to be dead.
 
--- a/src/dykemast/_internal/path/call_answers.py
+++ b/src/dykemast/_internal/path/call_answers.py
@@ -28,7 +28,7 @@
     response = (await routes.send_order(parts, job, order)).response
     cut = Outcome(order.bound, order.bound, CUT)
     try:
-        body = await relays.read_whole(response)
+        body = await relays.read_whole(response, job.ask.deadline)
     except (UpstreamError, asyncio.CancelledError) as error:
         response.close()
         background.run_apart(job.finish(cut))
--- a/src/dykemast/_internal/path/chat_answers.py
+++ b/src/dykemast/_internal/path/chat_answers.py
@@ -59,7 +59,9 @@
     """
     order = exchange.order
     try:
-        body = await relays.read_whole(exchange.upstream.response)
+        body = await relays.read_whole(
+            exchange.upstream.response, exchange.job.ask.deadline
+        )
     except (UpstreamError, asyncio.CancelledError) as error:
         exchange.upstream.response.close()
         background.run_apart(
@@ -106,18 +108,19 @@
 
 async def _relay(exchange: Exchange) -> AsyncIterator[bytes]:
     seen = _Seen()
-    job = exchange.job
+    response = exchange.upstream.response
+    events = relays.read_events(response, exchange.job.ask.deadline)
     try:
-        async for event in relays.read_events(exchange.upstream.response):
+        async for event in events:
             if seen.note(event):
                 yield event.body
     except BaseException as error:
         _end_cut(exchange, seen)
-        _log.info('relay: {} cut: {}', job.ask.request, repr(error))
+        _log.info('relay: {} cut: {!r}', exchange.order.service, error)
         raise
-    exchange.upstream.response.close()
+    response.close()
     usage = exchange.order.bound if seen.usage is None else seen.usage
-    await job.finish(Outcome(usage, usage))
+    await exchange.job.finish(Outcome(usage, usage))
     for body in seen.held:
         yield body
 
--- a/src/dykemast/_internal/path/entries.py
+++ b/src/dykemast/_internal/path/entries.py
@@ -8,7 +8,7 @@
 from starlette.responses import JSONResponse, Response
 
 from dykemast._internal.operations.entry import make_entry
-from dykemast._internal.operations.peers import list_peers, make_card
+from dykemast._internal.operations.peers import list_cards
 from dykemast._internal.path.admission import find_configuration
 from dykemast._internal.path.parts import Parts
 
@@ -21,9 +21,8 @@
     :returns: the answer.
     """
     board = parts.board
-    peers = list_peers(board.fleet, time.monotonic())
+    cards = list_cards(board, time.monotonic())
     keep = board.settings.get('keep_entry', 0)
-    cards = [make_card(board), *peers]
     entry: Any = make_entry(cards, board.settings['hall'], keep)
     return JSONResponse(entry)
 
--- a/src/dykemast/_internal/path/relays.py
+++ b/src/dykemast/_internal/path/relays.py
@@ -31,15 +31,17 @@
 
 async def read_events(
     response: aiohttp.ClientResponse,
+    deadline: float,
 ) -> AsyncIterator[Event]:
     """Read the events of a streamed answer, up to its end marker.
 
     :param response: the answer of a backend server.
+    :param deadline: seconds on the loop's clock by which it has to end.
     :returns: its events; the end marker comes last.
     :raises UpstreamError: when the answer breaks off before.
     """
     rest = b''
-    async for chunk in read_chunks(response):
+    async for chunk in read_chunks(response, deadline):
         *bodies, rest = (rest + chunk).split(_EVENT_END)
         for body in bodies:
             event = _read_event(body)
@@ -53,32 +55,45 @@
 
 async def read_chunks(
     response: aiohttp.ClientResponse,
+    deadline: float,
 ) -> AsyncIterator[bytes]:
     """Read an answer's body as it comes.
 
     :param response: the answer of a backend server.
+    :param deadline: seconds on the loop's clock by which it has to end.
     :returns: its bytes.
-    :raises UpstreamError: when the connection breaks.
+    :raises UpstreamError: when the connection breaks, or it is too late.
     """
-    try:
-        async for chunk in response.content.iter_any():
-            yield chunk
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-        kind = type(error).__name__
-        raise UpstreamError(
-            f'the answer broke off: {kind}.', sent=True
-        ) from error
+    chunks = response.content.iter_any()
+    while True:
+        try:
+            chunk = await _read_chunk(chunks, deadline)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            text = f'the answer broke off: {type(error).__name__}.'
+            raise UpstreamError(text, sent=True) from error
+        if not chunk:
+            return
+        yield chunk
+
 
+async def _read_chunk(chunks: AsyncIterator[bytes], deadline: float) -> bytes:
+    async with asyncio.timeout_at(deadline):
+        return await anext(chunks, b'')
 
-async def read_whole(response: aiohttp.ClientResponse) -> bytes:
+
+async def read_whole(
+    response: aiohttp.ClientResponse,
+    deadline: float,
+) -> bytes:
     """Read a whole answer.
 
     :param response: the answer of a backend server.
+    :param deadline: seconds on the loop's clock by which it has to end.
     :returns: its body.
     :raises UpstreamError: when it breaks off or is too long.
     """
     body = bytearray()
-    async for chunk in read_chunks(response):
+    async for chunk in read_chunks(response, deadline):
         body += chunk
         if len(body) > MAX_ANSWER:
             raise UpstreamError('the answer is too long.', sent=True)
--- a/src/dykemast/_internal/path/routes.py
+++ b/src/dykemast/_internal/path/routes.py
@@ -59,7 +59,7 @@
             return await _try_worker(parts, job, order, candidate)
         except UpstreamError as error:
             failure = _worse(failure, error)
-    raise RefusedError(_refuse(order, failure))
+    raise RefusedError(_refuse(job, order, failure))
 
 
 async def _try_worker(
@@ -101,11 +101,18 @@
     return before if before and before.sent else error
 
 
-def _refuse(order: Order, failure: UpstreamError | None) -> Refusal:
+def _refuse(
+    job: Job,
+    order: Order,
+    failure: UpstreamError | None,
+) -> Refusal:
     if failure is None:
         wanted = order.model or 'room'
         text = f'No worker of {order.service} has {wanted} now.'
         return Refusal(Code.no_worker, text, retry_after=WORKER_RETRY)
     ran = Ran.unknown if failure.sent else Ran.not_run
+    if time.monotonic() >= job.ask.deadline:
+        text = 'The deadline passed before the backend server answered.'
+        return Refusal(Code.too_late, text, ran)
     text = f'The backend server failed: {failure}'
     return Refusal(Code.upstream_failed, text, ran, retry_after=WORKER_RETRY)
--- a/tools/slope_times.py
+++ b/tools/slope_times.py
@@ -12,6 +12,7 @@
 from dykemast._internal.network import ledger_codec, peer_codec
 from dykemast._internal.operations import journal_merge, peers, routing
 from dykemast._internal.operations.budget_shard import apply_intent
+from dykemast._internal.operations.news import choose_news
 from tools import slope_worlds as worlds
 
 #: Things of each kind that are made.
@@ -79,7 +80,7 @@
 def time_news() -> Iterator[Slope]:
     """Measure the exchange among routers."""
     fleet = worlds.make_fleet(ROUTERS)
-    views = peers.choose_news(fleet, 1, random.Random(1))
+    views = choose_news(fleet, 1, random.Random(1))
     # Its own card goes along.
     views.append(views[0])
     cards = [peer_codec.pack_view(view) for view in views]
