--- a/src/dykemast/_internal/controllers/news.py
+++ b/src/dykemast/_internal/controllers/news.py
@@ -15,9 +15,8 @@
 from dykemast._internal.models.fleet import Instance, PeerCard
 from dykemast._internal.network import peer_codec
 from dykemast._internal.network.peer_client import PeerClient
-from dykemast._internal.operations import peers
+from dykemast._internal.operations import news as contents, peers
 from dykemast._internal.operations.instance_list import ROUTER_ROLE
-from dykemast._internal.operations.news import choose_news
 
 _log = logbook.Logger('member')
 
@@ -90,7 +89,7 @@
         fleet = self._board.fleet
         now = time.monotonic()
         mine = PeerView(peers.make_card(self._board), self._beat, now)
-        views = [mine, *choose_news(fleet, now, self._chance)]
+        views = [mine, *contents.choose_news(fleet, now, self._chance)]
         return peer_codec.peer_thrift.Gossip(
             cards=[peer_codec.pack_view(view) for view in views],
             leaving=sorted(fleet.leaving),
--- a/src/dykemast/_internal/path/chat_answers.py
+++ b/src/dykemast/_internal/path/chat_answers.py
@@ -119,12 +119,16 @@
         _log.info('relay: {} cut: {!r}', exchange.order.service, error)
         raise
     response.close()
-    usage = exchange.order.bound if seen.usage is None else seen.usage
-    await exchange.job.finish(Outcome(usage, usage))
+    await _bill_stream(exchange, seen)
     for body in seen.held:
         yield body
 
 
+async def _bill_stream(exchange: Exchange, seen: _Seen) -> None:
+    usage = exchange.order.bound if seen.usage is None else seen.usage
+    await exchange.job.finish(Outcome(usage, usage))
+
+
 def _end_cut(exchange: Exchange, seen: _Seen) -> None:
     order = exchange.order
     exchange.upstream.response.close()
