--- a/tests/functional/test_backends.py
+++ b/tests/functional/test_backends.py
@@ -5,7 +5,7 @@
 
 from tests.lib.caller import ask_chat, ask_service
 from tests.lib.fixtures import find_bills, make_fleet, wait_until
-from tests.lib.streams import open_stream, read_rest
+from tests.lib.streams import BROKEN, open_stream, read_rest
 from tools.calls import call
 from tools.fleet import Fleet, control
 from tools.layout import HOST, Member, list_instances
@@ -44,9 +44,8 @@
     fleet = make_fleet(routers=1)
     set_engines(fleet, swap_ids=True)
     answer = ask_chat(fleet, 0, 'hi stop=3', key='swap')
-    error = json.loads(answer.text)['error']
     assert answer.status == 502
-    assert error['ran'] == 'unknown'
+    assert json.loads(answer.text)['error']['ran'] == 'unknown'
     assert 'choices' not in answer.text
 
 
@@ -57,6 +56,7 @@
     text = read_rest(response)
     assert b'w4' in text
     assert b'[DONE]' not in text
+    assert text.endswith(BROKEN)
     assert wait_until(lambda: bool(find_bills(fleet, 'broken', 0)))
     assert find_bills(fleet, 'broken', 0)[0]['outcome'] == 'cut'
 
--- a/tests/functional/test_outages.py
+++ b/tests/functional/test_outages.py
@@ -35,10 +35,14 @@
 
 def test_an_order_is_refused_at_once_in_an_outage() -> None:
     fleet = make_fleet()
+    # There is room in the lease, so that only the claim is missing.
+    for number in range(3):
+        ask_service(fleet, 0, 'orders/a', key=f'before{number}')
     control(fleet.layout.platform_port, away=True)
     refused = ask_service(fleet, 0, 'orders/a', key='order')
     assert refused.status == 503
-    assert json.loads(refused.text)['error']['ran'] == 'no'
+    error = json.loads(refused.text)['error']
+    assert (error['code'], error['ran']) == ('platform_away', 'no')
     assert int(refused.headers['retry-after'])
     assert 'order' not in count_calls(fleet)
 
--- a/tests/lib/streams.py
+++ b/tests/lib/streams.py
@@ -8,6 +8,10 @@
 from tools.layout import HOST
 
 
+#: What stands for the place where a connection broke.
+BROKEN = b'<broken>'
+
+
 def open_stream(
     fleet: Fleet,
     router: int,
@@ -36,6 +40,6 @@
     try:
         return response.read()
     except client.IncompleteRead as error:
-        return error.partial
+        return error.partial + BROKEN
     except OSError:
-        return b''
+        return BROKEN
--- a/tests/unit/test_lease_messages.py
+++ b/tests/unit/test_lease_messages.py
@@ -47,3 +47,16 @@
     assert count_floor(giving) <= kept
     use_up(world)
     assert world.consumed <= world.paid
+
+
+def test_a_late_intent_does_not_open_a_closed_lease() -> None:
+    world = make_world()
+    router = world.routers[0]
+    late = world.plan(router)
+    router.book.close_all(world.now, router.seen)
+    world.renew(router)
+    closed = world.shard.budget
+    assert len(closed.rows) == 2
+    for intent in late:
+        world.shard.apply(intent)
+    assert world.shard.budget == closed
