--- a/tools/measure.py
+++ b/tools/measure.py
@@ -7,7 +7,7 @@
 
 from dykemast._internal.utils.tables import format_table
 from tools.measure_latency import measure_latency
-from tools.measure_platform import measure_platform
+from tools.measure_platform import measure_fleets, measure_platform
 from tools.measure_slopes import measure_slopes
 from tools.simulation import baselines, model, runs, sharings
 
@@ -69,6 +69,7 @@
         'latency': measure_latency,
         'platform': measure_platform,
         'slopes': measure_slopes,
+        'fleets': measure_fleets,
     }
 )
 
--- a/tools/measure_platform.py
+++ b/tools/measure_platform.py
@@ -18,6 +18,8 @@
 #: Requests and requests a second of the run that counts platform calls.
 LOAD_COUNT: Final = 1200
 LOAD_RATE: Final = 80
+#: Sizes of the idle fleets.
+FLEETS: Final = (4, 16, 32)
 
 
 def measure_platform() -> list[dict[str, Any]]:
@@ -35,6 +37,23 @@
     return [loaded, idle]
 
 
+def measure_fleets() -> list[dict[str, Any]]:
+    """Measure idle fleets of several sizes, for the slope per router.
+
+    :returns: a row for each size.
+    """
+    return [_measure_idle(routers) for routers in FLEETS]
+
+
+def _measure_idle(routers: int) -> dict[str, Any]:
+    fleet = Fleet(plan_layout(routers=routers, engines=2))
+    with contextlib.ExitStack() as stack:
+        stack.callback(fleet.stop)
+        fleet.start()
+        time.sleep(CALM)
+        return _count_calls(fleet, 'idle', lambda _: time.sleep(LOOK))
+
+
 def _run_load(fleet: Fleet) -> None:
     load = Load(list(WORKSPACES), LOAD_COUNT, LOAD_RATE)
     asyncio.run(run_load(fleet.layout, load))
