--- a/src/dykemast/_internal/cli/file_commands.py
+++ b/src/dykemast/_internal/cli/file_commands.py
@@ -46,8 +46,17 @@
         str, cappa.Arg(long='--id', help='Id by which a repeat is known.')
     ] = ''
 
+    compare: Annotated[
+        bool,
+        cappa.Arg(long=True, help='Only show what would change.'),
+    ] = False
+
     def __call__(self) -> None:
         """Run the command."""
+        if self.compare:
+            answer = submit.compare_file(self.find_address(), self.path)
+            self.show(answer, submit.format_comparison(answer))
+            return
         answer = submit.submit_file(
             self.find_address(),
             self.path,
--- a/src/dykemast/_internal/commands/submit.py
+++ b/src/dykemast/_internal/commands/submit.py
@@ -5,6 +5,7 @@
 
 from dykemast._internal.exceptions import Finding, InvalidFileError
 from dykemast._internal.network.admin_client import AdminAddress, call_admin
+from dykemast._internal.utils.tables import format_table
 
 _PATH = '/admin/configuration'
 
@@ -23,10 +24,7 @@
     :param submission: id by which a repeat is known.
     :returns: the new revision's number.
     """
-    try:
-        text = Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise InvalidFileError([Finding(path, 0, '', str(error))]) from error
+    text = read_text(path)
     if base is None:
         base = call_admin(address, 'GET', _PATH)['revision']
     fields = {
@@ -38,6 +36,40 @@
     return call_admin(address, 'POST', _PATH, fields)
 
 
+def compare_file(address: AdminAddress, path: str) -> Any:
+    """Compare a configuration file with what is in force.
+
+    :param address: where to ask.
+    :param path: the file.
+    :returns: the newest revision's number, and the differences.
+    """
+    fields = {'text': read_text(path), 'path': path}
+    return call_admin(address, 'POST', '/admin/compare', fields)
+
+
+def format_comparison(answer: Any) -> str:
+    """Show the differences.
+
+    :param answer: as given.
+    :returns: text.
+    """
+    shown = format_table(answer['differences'], ('section', 'name', 'change'))
+    return 'against revision {}:\n{}'.format(answer['revision'], shown)
+
+
+def read_text(path: str) -> str:
+    """Read a file to be submitted.
+
+    :param path: the file.
+    :returns: its text.
+    :raises InvalidFileError: when it cannot be read.
+    """
+    try:
+        return Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise InvalidFileError([Finding(path, 0, '', str(error))]) from error
+
+
 def format_submission(answer: Any) -> str:
     """Show what became of a submission.
 
--- a/src/dykemast/_internal/network/admin_api.py
+++ b/src/dykemast/_internal/network/admin_api.py
@@ -39,6 +39,7 @@
         return responses.Response(parts.render(), media_type='text/plain')
 
     submit = guard(admin_writes.submit)
+    compare = guard(admin_writes.compare_with_newest)
     return applications.Starlette(
         routes=[
             routing.Route('/metrics', serve_metrics),
@@ -47,6 +48,7 @@
             ),
             routing.Route(CONFIGURATION, guard(admin_reads.read_configuration)),
             routing.Route(CONFIGURATION, submit, methods=['POST']),
+            routing.Route('/admin/compare', compare, methods=['POST']),
             routing.Route(
                 '/admin/topups', guard(admin_writes.top_up), methods=['POST']
             ),
--- a/src/dykemast/_internal/network/admin_writes.py
+++ b/src/dykemast/_internal/network/admin_writes.py
@@ -8,6 +8,7 @@
 from dykemast._internal.models.budgets import TopupIntent
 from dykemast._internal.network.admin_parts import AdminParts
 from dykemast._internal.network.budget_ledger import PREFIX
+from dykemast._internal.operations.comparison import compare
 from dykemast._internal.operations.findings import check_configuration
 from dykemast._internal.operations.rendezvous import choose_shard
 
@@ -39,6 +40,23 @@
     return {'findings': []}
 
 
+async def compare_with_newest(parts: AdminParts, request: Request) -> Any:
+    """Compare a configuration with the newest revision.
+
+    :param parts: parts of the router.
+    :param request: carries a :class:`Submission`.
+    :returns: the revision's number and the differences.
+    """
+    order = await _read_order(request, Submission)
+    configuration = check_configuration(order.path, order.text)
+    newest = await parts.store.read_newest()
+    found = compare(newest.configuration, configuration)
+    return {
+        'revision': newest.number,
+        'differences': [difference._asdict() for difference in found],
+    }
+
+
 async def submit(parts: AdminParts, request: Request) -> Any:
     """Make a configuration the next revision.
 
--- /dev/null
+++ b/src/dykemast/_internal/operations/comparison.py
@@ -0,0 +1,48 @@
+"""What differs between two configurations."""
+
+from collections.abc import Iterator
+from typing import Any, Final, NamedTuple
+
+from dykemast._internal.models.revisions import Configuration
+
+_SECTIONS: Final = ('services', 'models', 'workspaces', 'policies')
+
+
+class Difference(NamedTuple):
+    """One difference.
+
+    :param section: part of the configuration.
+    :param name: of what differs.
+    :param change: ``added``, ``removed`` or ``changed``.
+    """
+
+    section: str
+    name: str
+    change: str
+
+
+def compare(old: Configuration, new: Configuration) -> list[Difference]:
+    """Compare two configurations by the names in them.
+
+    :param old: what is in force.
+    :param new: what would be.
+    :returns: the differences, by section and name.
+    """
+    before: dict[str, Any] = dict(old)
+    after: dict[str, Any] = dict(new)
+    found: list[Difference] = []
+    for section in _SECTIONS:
+        found.extend(_compare(section, before[section], after[section]))
+    return found
+
+
+def _compare(section: str, old: Any, new: Any) -> Iterator[Difference]:
+    before = {spec['name']: spec for spec in old}
+    after = {spec['name']: spec for spec in new}
+    for name in sorted(before.keys() | after.keys()):
+        if name not in before:
+            yield Difference(section, name, 'added')
+        elif name not in after:
+            yield Difference(section, name, 'removed')
+        elif before[name] != after[name]:
+            yield Difference(section, name, 'changed')
