Let every router's renewals bound how old a dead router's last write is

The dead router had kept the shard itself; the new keeper had no log of reads, so it had to charge the whole lease.

Change: each router notes, for each of its renewals that was written, that the shard's version was no newer when it sent it; the reclaimer uses that log. Answers from a state that was not written carry no version any more: such a state may be old, and its version would show nothing.

Conclusion: a new keeper can tell the armed part from the whole lease.

--- a/src/dykemast/_internal/controllers/assembly.py
+++ b/src/dykemast/_internal/controllers/assembly.py
@@ -55,7 +55,9 @@
             self.follower.follow_platform,
             self.follower.follow_peers,
             load_reports.LoadReader(board, self.sessions.backends).run,
-            reclaims.Reclaims(board, platform, self.keepers).run,
+            reclaims.Reclaims(
+                board, platform, self.keepers, self.parts.leases
+            ).run,
             Retention(board, platform, self.keepers).run,
         ]
 
--- a/src/dykemast/_internal/controllers/lease_renewals.py
+++ b/src/dykemast/_internal/controllers/lease_renewals.py
@@ -13,6 +13,7 @@
 from dykemast._internal.exceptions import DykemastError
 from dykemast._internal.models.budgets import BudgetAck
 from dykemast._internal.operations.lease_book import LeaseBook
+from dykemast._internal.operations.reclaim import ReadLog
 
 _log = logbook.Logger('lease')
 
@@ -42,6 +43,7 @@
         self._book = book
         self._commit = functools.partial(keepers.commit, ledger)
         self._belongs = belongs
+        self.reads = ReadLog()
         self._seen = 0
 
     async def run(self, on_news: Callable[[], None]) -> None:
@@ -71,8 +73,12 @@
         )
         if not plans:
             return
+        started = time.monotonic()
         for ack in await self._commit(plans):
             self._take(ack)
+            if ack.version:
+                # It stood when it was written, so it was no newer before.
+                self.reads.note_read(ack.version, started)
         self.away = False
 
     def _take(self, ack: BudgetAck) -> None:
--- a/src/dykemast/_internal/controllers/leases.py
+++ b/src/dykemast/_internal/controllers/leases.py
@@ -24,7 +24,7 @@
         """Start with no lease."""
         self.book = book
         self._news = asyncio.Event()
-        self._renewers = [
+        self.renewers = [
             _make_renewer(book, keepers, (number, shards))
             for number in range(shards)
         ]
@@ -32,7 +32,7 @@
     async def run(self) -> None:
         """Renew leases until cancelled."""
         async with asyncio.TaskGroup() as group:
-            for renewer in self._renewers:
+            for renewer in self.renewers:
                 group.create_task(renewer.run(self._wake_waiters))
 
     def find_renewer(self, budget: str) -> LeaseRenewer:
@@ -41,7 +41,7 @@
         :param budget: its name.
         :returns: the renewer of its shard.
         """
-        return self._renewers[choose_shard(budget, len(self._renewers))]
+        return self.renewers[choose_shard(budget, len(self.renewers))]
 
     async def wait_news(self, patience: float) -> None:
         """Wait until some leases were looked at.
@@ -68,7 +68,7 @@
         :raises PlatformError: when that could not be written.
         """
         self.book.close_all(time.monotonic(), 0)
-        for renewer in self._renewers:
+        for renewer in self.renewers:
             await renewer.renew()
 
     def _wake_waiters(self) -> None:
--- a/src/dykemast/_internal/controllers/reclaims.py
+++ b/src/dykemast/_internal/controllers/reclaims.py
@@ -8,8 +8,7 @@
 import msgspec
 
 from dykemast._internal.blackboard import Blackboard
-from dykemast._internal.controllers.keepers import Keepers
-from dykemast._internal.controllers.instances import MEMBERS
+from dykemast._internal.controllers import instances, keepers, leases
 from dykemast._internal.exceptions import DykemastError
 from dykemast._internal.network.budget_ledger import PREFIX, BudgetShard
 from dykemast._internal.network.platform import Platform
@@ -31,19 +30,22 @@
 
     :param board: the blackboard; only the incarnations are written.
     :param platform: session with the platform.
-    :param keepers: way to the budget shards.
+    :param ways: to the budget shards.
+    :param book: knows when which versions of the shards were seen.
     """
 
     def __init__(
         self,
         board: Blackboard,
         platform: Platform,
-        keepers: Keepers,
+        ways: keepers.Keepers,
+        book: leases.Leases,
     ) -> None:
         """Start with nothing read."""
+        self._leases = book
         self._board = board
         self._platform = platform
-        self._keepers = keepers
+        self._keepers = ways
         self._shards: dict[str, BudgetShard] = {}
 
     async def run(self) -> None:
@@ -60,12 +62,14 @@
         for number in range(self._board.settings.get('budget_shards', 1)):
             name = f'{PREFIX}{number}'
             if self._keepers.find_keeper(name) == own:
-                await self._look_at(name)
+                await self._look_at(name, self._leases.renewers[number].reads)
             else:
                 self._shards.pop(name, None)
 
-    async def _look_at(self, name: str) -> None:
-        shard = self._shards.setdefault(name, BudgetShard(self._platform, name))
+    async def _look_at(self, name: str, reads: reclaim.ReadLog) -> None:
+        shard = self._shards.setdefault(
+            name, BudgetShard(self._platform, name, reads)
+        )
         await shard.load()
         await self._read_incarnations(shard)
         lag = self._board.settings.get('list_lag', 0)
@@ -92,6 +96,6 @@
         known = self._board.fleet.incarnations
         cards = peers.list_cards(self._board, time.monotonic())
         for name in reclaim.list_suspects(shard.budgets, cards):
-            stored = await self._platform.read(MEMBERS + name)
+            stored = await self._platform.read(instances.MEMBERS + name)
             if stored.body:
                 known[name] = msgspec.json.decode(stored.body, type=str)
--- a/src/dykemast/_internal/models/budgets.py
+++ b/src/dykemast/_internal/models/budgets.py
@@ -124,7 +124,8 @@
     :param free: tokens of the budget in no lease.
     :param paid: tokens paid for.
     :param unspent: tokens not reported as spent by anybody.
-    :param version: newest shard version that surely exists.
+    :param version: shard version that stood until the write; 0 when there
+        was none.
     """
 
     budget: str
--- a/src/dykemast/_internal/network/budget_ledger.py
+++ b/src/dykemast/_internal/network/budget_ledger.py
@@ -23,13 +23,19 @@
 
     :param platform: session with the platform.
     :param name: name of the shard's object.
+    :param reads: log of its reads, to add to; a new one where none is given.
     """
 
-    def __init__(self, platform: Platform, name: str) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        name: str,
+        reads: ReadLog | None = None,
+    ) -> None:
         """Start with nothing read."""
         self.budgets: Budgets = {}
         self.version = 0
-        self.reads = ReadLog()
+        self.reads = reads or ReadLog()
         self._platform = platform
         self._name = name
 
@@ -51,12 +57,12 @@
         :returns: answers, and how to save the merged state.
         """
         budgets = {**self.budgets}
-        # The version that was read is the newest that surely exists.
-        acks = [
-            _apply(budgets, intent)._replace(version=self.version)
-            for intent in batch
-        ]
+        acks = [_apply(budgets, intent) for intent in batch]
         dirty = budgets != self.budgets
+        if dirty:
+            # The conditional update will show that this version still stood;
+            # without one the state may be old, and its version shows nothing.
+            acks = [ack._replace(version=self.version) for ack in acks]
 
         async def save() -> None:
             await self._save(budgets)
