Serve requests on the users' platform: first whole path

Cause: the users' instances have a platform of their own: settings, object store, configuration, backend servers and header fields under other names, callers that ask for addresses, and no disk. Change: platform/ decodes settings, objects and headers once; serving/ has the program (followers of the store, news between routers, budgets by rows of one object a workspace, choice of servers, streams, entry answers, stop).

--- a/src/dykemast/_internal/exceptions.py
+++ b/src/dykemast/_internal/exceptions.py
@@ -3,7 +3,7 @@
 Each message says what happened, why, and what to do about it.
 """
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 
 class Finding(NamedTuple):
@@ -46,11 +46,32 @@
 
 
 class VersionConflictError(PlatformError):
-    """The object has another version: nothing was written."""
+    """The object has another version: nothing was written.
+
+    :param current: the object as it is, where the platform says so.
+    """
+
+    def __init__(self, text: str, current: Any = None) -> None:
+        """Keep the object."""
+        super().__init__(text)
+        self.current = current
 
 
 class PlatformAwayError(PlatformError):
-    """No answer: the write may or may not have taken effect."""
+    """No usable answer.
+
+    :param refused: whether nothing was done; else a write may or may not
+        have taken effect, or take effect later.
+    """
+
+    def __init__(self, text: str, *, refused: bool = False) -> None:
+        """Keep whether the call was refused."""
+        super().__init__(text)
+        self.refused = refused
+
+
+class HistoryLostError(PlatformError):
+    """A watch cannot go on: list the objects again."""
 
 
 class PeerError(DykemastError):
@@ -60,13 +81,22 @@
 class UpstreamError(DykemastError):
     """A backend server failed.
 
-    :param sent: whether any byte of the order may have reached it.
+    :param sent: whether any byte of the order may have reached it, and it
+        does not say that it did not run it.
+    :param unconnected: whether there was not even a connection.
     """
 
-    def __init__(self, text: str, *, sent: bool) -> None:
+    def __init__(
+        self,
+        text: str,
+        *,
+        sent: bool,
+        unconnected: bool = False,
+    ) -> None:
         """Keep whether the order may have run."""
         super().__init__(text)
         self.sent = sent
+        self.unconnected = unconnected
 
 
 class AdminError(DykemastError):
--- /dev/null
+++ b/src/dykemast/_internal/models/routing_table.py
@@ -0,0 +1,160 @@
+"""Configuration of a deployment: routes, services, workspaces.
+
+It is read whole from the platform; versions only rise.
+"""
+
+import enum
+import hashlib
+from typing import NamedTuple
+
+
+class RouteKind(enum.Enum):
+    """How a request of a route may be treated."""
+
+    #: May run more than once.
+    safe = 'safe'
+    #: Runs at most once.
+    unsafe = 'unsafe'
+    #: Answered by a series of events.
+    stream = 'stream'
+
+
+class Share(NamedTuple):
+    """Part of a route's requests that goes to one service."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """One route.
+
+    :param name: its name.
+    :param host: host name that callers use.
+    :param prefix: start of the path; begins and ends with a slash.
+    :param kind: how its requests may be treated.
+    :param shares: services that run them.
+    :param timeout: seconds after which a request gets its final answer.
+    :param objective: seconds within which an answer is in time.
+    :param priority: 0 is the most urgent.
+    :param max_workers: backend servers that one request may be sent to.
+    :param public: whether requests need no key.
+    :param resumable: whether a broken stream may go on at another worker.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[Share, ...]
+    timeout: float
+    objective: float
+    priority: int
+    max_workers: int
+    public: bool
+    resumable: bool
+
+
+class Engine(NamedTuple):
+    """Model engines of a service.
+
+    :param slots: requests that one runs at once.
+    :param memory: tokens that its key-value cache holds.
+    :param tokens_per_event: tokens in one event of a stream.
+    """
+
+    slots: int
+    memory: int
+    tokens_per_event: int
+
+
+class Service(NamedTuple):
+    """One service.
+
+    :param name: its name.
+    :param max_connections: connections that one server takes from all.
+    :param engine: set where model engines run it.
+    """
+
+    name: str
+    max_connections: int
+    engine: Engine | None
+
+
+class Limits(NamedTuple):
+    """What callers may send.
+
+    :param header_bytes: of all header fields.
+    :param body_bytes: of a body.
+    :param header_timeout: seconds for the header fields to arrive.
+    :param idle_timeout: seconds that a connection may rest.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout: float
+    idle_timeout: float
+
+
+class Workspace(NamedTuple):
+    """One workspace.
+
+    :param name: its name.
+    :param priority: 0 is the most urgent; None leaves it to the route.
+    :param prepaid: tokens paid for; None when it has no budget.
+    """
+
+    name: str
+    priority: int | None
+    prepaid: int | None
+
+
+class RoutingTable(NamedTuple):
+    """One version of the configuration.
+
+    :param version: rises with each change.
+    :param revision: of the object in the store.
+    :param routes: by host name, the longest prefix first.
+    :param services: by name.
+    :param workspaces: by name.
+    :param keys: name of the workspace by the hash of a key.
+    :param limits: what callers may send.
+    """
+
+    version: int
+    revision: int
+    routes: dict[str, tuple[Route, ...]]
+    services: dict[str, Service]
+    workspaces: dict[str, Workspace]
+    keys: dict[bytes, str]
+    limits: Limits
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Find the route of a request.
+
+        :param host: host name that the caller used, without a port.
+        :param path: path of the request.
+        :returns: the route with the longest prefix, or nothing.
+        """
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_workspace(self, key: str) -> Workspace | None:
+        """Find who holds a key.
+
+        :param key: as the caller sent it.
+        :returns: the workspace, or nothing.
+        """
+        name = self.keys.get(hash_key(key))
+        return None if name is None else self.workspaces[name]
+
+
+def hash_key(key: str) -> bytes:
+    """Hash a key, so that none is kept in clear.
+
+    :param key: as it was issued.
+    :returns: its hash.
+    """
+    return hashlib.blake2b(key.encode(), digest_size=16).digest()
--- /dev/null
+++ b/src/dykemast/_internal/network/fleet.thrift
@@ -0,0 +1,14 @@
+// Calls between the routers of a deployment. Bodies are MessagePack of the
+// types in models/news.py.
+
+exception Refused {
+    1: string reason,
+}
+
+service Fleet {
+    binary exchange(1: binary news) throws (1: Refused no),
+    // Spare tokens of a workspace's budget, for good.
+    i64 lend(1: string workspace, 2: i64 tokens) throws (1: Refused no),
+    // The configuration if it is newer; else empty.
+    binary newer_configuration(1: i64 above) throws (1: Refused no),
+}
--- a/src/dykemast/_internal/network/listeners.py
+++ b/src/dykemast/_internal/network/listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import Any, Final
 
 import uvicorn
@@ -32,26 +33,53 @@
     :returns: the listener.
     :raises OSError: when the address is in use.
     """
-    listener = Listener(
-        uvicorn.Config(
-            app,
-            host=host,
-            port=port,
-            # uvloop would use io_uring, which the users do not allow.
-            loop='asyncio',
-            # h11 took a fifth of the time of a stream in the profile.
-            http='httptools',
-            lifespan='off',
-            access_log=False,
-            log_level='error',
-            timeout_keep_alive=KEEP_ALIVE,
-            server_header=False,
-        )
+    config = _configure(app, host=host, port=port)
+    return await _open(config, None, f'{host}:{port}')
+
+
+async def open_on_sockets(
+    app: Any,
+    sockets: list[socket.socket],
+) -> Listener:
+    """Listen for HTTP requests on sockets that are bound already.
+
+    :param app: what to serve.
+    :param sockets: listening sockets.
+    :returns: the listener.
+    :raises OSError: when it could not be opened.
+    """
+    return await _open(_configure(app), sockets, 'the sockets')
+
+
+def _configure(app: Any, **address: Any) -> uvicorn.Config:
+    return uvicorn.Config(
+        app,
+        **address,
+        # uvloop would use io_uring, which the users do not allow.
+        loop='asyncio',
+        # h11 took a fifth of the time of a stream in the profile.
+        http='httptools',
+        ws='none',
+        lifespan='off',
+        access_log=False,
+        log_level='critical',
+        timeout_keep_alive=KEEP_ALIVE,
+        server_header=False,
+        date_header=False,
+        proxy_headers=False,
     )
-    task = asyncio.create_task(listener.serve())
+
+
+async def _open(
+    config: uvicorn.Config,
+    sockets: list[socket.socket] | None,
+    where: str,
+) -> Listener:
+    listener = Listener(config)
+    task = asyncio.create_task(listener.serve(sockets))
     async with asyncio.timeout(OPEN_TIMEOUT):
         while not listener.started:
             if task.done():
-                raise OSError(f'{host}:{port} could not be opened.')
+                raise OSError(f'{where} could not be opened.')
             await asyncio.sleep(_POLL)
     return listener
--- a/src/dykemast/_internal/network/peer_client.py
+++ b/src/dykemast/_internal/network/peer_client.py
@@ -23,12 +23,18 @@
 class PeerClient:
     """Pooled connections to the other routers.
 
-    :param key: secret that all routers share.
+    :param key: secret that all routers share; None where calls take none.
+    :param service: what they offer, from an interface definition.
     """
 
-    def __init__(self, key: str) -> None:
+    def __init__(
+        self,
+        key: str | None,
+        service: Any = peer_thrift.Peer,
+    ) -> None:
         """Open no connection yet."""
-        self._key = key
+        self._first_words = () if key is None else (key,)
+        self._service = service
         self._idle: dict[str, list[Any]] = {}
 
     async def call(
@@ -70,7 +76,9 @@
     ) -> Any:
         client = await self._take(card)
         try:
-            answer = await getattr(client, method)(self._key, *words)
+            answer = await getattr(client, method)(
+                *self._first_words, *words
+            )
         except BaseException:
             client.close()
             raise
@@ -82,7 +90,7 @@
         if idle:
             return idle.pop()
         return await make_client(
-            peer_thrift.Peer, card.host, card.peer_port, timeout=None
+            self._service, card.host, card.peer_port, timeout=None
         )
 
     def _give_back(self, card: PeerCard, client: Any) -> None:
--- a/src/dykemast/_internal/network/peer_codec.py
+++ b/src/dykemast/_internal/network/peer_codec.py
@@ -8,16 +8,20 @@
 from dykemast._internal.blackboard import PeerView
 from dykemast._internal.models.fleet import PeerCard
 
-_IDL: Final = resources.files(__package__) / 'peer.thrift'
 
+def load_idl(name: str) -> Any:
+    """Make a module from an interface definition.
 
-def _load_idl() -> Any:
-    with _IDL.open() as source:
-        return thriftpy2.load_fp(source, 'peer_thrift')
+    :param name: of the file, without its suffix.
+    :returns: the module.
+    """
+    path = resources.files(__package__) / f'{name}.thrift'
+    with path.open() as source:
+        return thriftpy2.load_fp(source, f'{name}_thrift')
 
 
 #: Module made from the interface definition.
-peer_thrift: Final = _load_idl()
+peer_thrift: Final = load_idl('peer')
 
 
 def pack_view(view: PeerView) -> Any:
--- a/src/dykemast/_internal/network/peer_server.py
+++ b/src/dykemast/_internal/network/peer_server.py
@@ -64,9 +64,21 @@
     :param calls: what they may call.
     :returns: the listening server, to be closed by its ``close``.
     """
+    return await listen(peer_thrift.Peer, _Guard(key, calls), host, port)
+
+
+async def listen(service: Any, handler: Any, host: str, port: int) -> Any:
+    """Serve calls of an interface definition.
+
+    :param service: the interface.
+    :param handler: has a coroutine method for each call.
+    :param host: IP number to listen on.
+    :param port: port to listen on.
+    :returns: the listening server, to be closed by its ``close``.
+    """
     server = make_server(
-        peer_thrift.Peer,
-        _Guard(key, calls),
+        service,
+        handler,
         host,
         port,
         # Pooled connections of peers may be idle for long.
--- a/src/dykemast/_internal/network/platform_session.py
+++ b/src/dykemast/_internal/network/platform_session.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from dykemast._internal.exceptions import PlatformAwayError
+from dykemast._internal.network.sockets import make_socket
 
 #: Seconds to wait for an answer.
 CALL_TIMEOUT: Final = 2.0
@@ -64,7 +65,9 @@
         wait: float,
     ) -> Answer:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(socket_factory=make_socket)
+            )
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT + wait)
         call = self._session.request(
             method, self._base + path, data=body or None, timeout=timeout
--- /dev/null
+++ b/src/dykemast/_internal/network/sockets.py
@@ -0,0 +1,33 @@
+"""Sockets that notice when the other side is cut off."""
+
+import socket
+from typing import Any, Final
+
+#: Milliseconds that sent bytes may stay unconfirmed. Users' links confirm in
+#: some milliseconds, and lost packets are repeated within a second.
+USER_TIMEOUT: Final = 3000
+#: Seconds of silence before a probe, between probes, and probes in vain.
+PROBE_IDLE: Final = 1
+PROBE_PAUSE: Final = 1
+PROBE_COUNT: Final = 2
+
+
+def make_socket(address: Any) -> socket.socket:
+    """Make a socket to connect with.
+
+    :param address: as ``getaddrinfo`` gives it.
+    :returns: the socket, not yet connected.
+    """
+    family, kind, protocol, _, _ = address
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, setting in (
+        (socket.TCP_KEEPIDLE, PROBE_IDLE),
+        (socket.TCP_KEEPINTVL, PROBE_PAUSE),
+        (socket.TCP_KEEPCNT, PROBE_COUNT),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT),
+        (socket.TCP_NODELAY, 1),
+    ):
+        made.setsockopt(socket.IPPROTO_TCP, option, setting)
+    return made
--- /dev/null
+++ b/src/dykemast/_internal/operations/server_choice.py
@@ -0,0 +1,100 @@
+"""Which backend server gets a request."""
+
+from collections.abc import Callable, Iterable
+from typing import Final, NamedTuple
+
+#: Prompt tokens that a running stream slows a new one by: a step takes some
+#: 2 % longer with each, over the some hundred tokens of an answer.
+TOKENS_PER_RUNNING: Final = 250
+#: Load by which a server of another hall must be lighter.
+FAR_SLOTS: Final = 0.1
+#: Failures in a row that make a server the last choice.
+MANY_FAILURES: Final = 2
+
+
+class EngineOption(NamedTuple):
+    """A model engine that could run a request.
+
+    :param server: its id.
+    :param running: requests that run there.
+    :param slots: requests that it runs at once.
+    :param unread: prompt tokens that it has to read before.
+    :param missing: tokens of this prompt that it has to read.
+    :param trust: from 0, failing, to 1.
+    """
+
+    server: str
+    running: int
+    slots: int
+    unread: int
+    missing: int
+    trust: float
+
+
+class ServiceOption(NamedTuple):
+    """A plain server that could run a request.
+
+    :param server: its id.
+    :param running: requests that run there.
+    :param slots: requests that it works on at once.
+    :param near: whether it stands in the same hall.
+    :param trust: from 0, failing, to 1.
+    """
+
+    server: str
+    running: int
+    slots: int
+    near: bool
+    trust: float
+
+
+def choose_engine(
+    options: Iterable[EngineOption],
+    chance: Callable[[], float],
+) -> str | None:
+    """Choose the engine that should answer first.
+
+    :param options: engines.
+    :param chance: draws from 0 to 1; settles draws.
+    :returns: id of an engine, or nothing when there is none.
+    """
+    best = min(
+        options,
+        key=lambda one: (_cost_engine(one), chance()),
+        default=None,
+    )
+    return best.server if best else None
+
+
+def choose_plain(
+    options: Iterable[ServiceOption],
+    chance: Callable[[], float],
+) -> str | None:
+    """Choose the least busy plain server.
+
+    :param options: servers.
+    :param chance: draws from 0 to 1; settles draws.
+    :returns: id of a server, or nothing when there is none.
+    """
+    best = min(
+        options,
+        key=lambda one: (_cost_plain(one), chance()),
+        default=None,
+    )
+    return best.server if best else None
+
+
+def _cost_engine(option: EngineOption) -> float:
+    tokens = option.unread + option.missing
+    tokens += TOKENS_PER_RUNNING * option.running
+    if option.running >= option.slots:
+        # It would wait for a slot, whatever it keeps.
+        tokens *= 4
+    return tokens / max(0.05, option.trust)
+
+
+def _cost_plain(option: ServiceOption) -> float:
+    load = option.running / max(1, option.slots)
+    if not option.near:
+        load += FAR_SLOTS
+    return (load + FAR_SLOTS) / max(0.05, option.trust)
--- /dev/null
+++ b/src/dykemast/_internal/operations/server_trust.py
@@ -0,0 +1,52 @@
+"""How far backend servers are trusted, from what came of requests."""
+
+import math
+from typing import Final, NamedTuple
+
+#: Weight of a new outcome against those before.
+OUTCOME_WEIGHT: Final = 0.3
+#: Seconds in which distrust falls to about a third without new outcomes.
+FORGET_TIME: Final = 6.0
+
+
+class _Record(NamedTuple):
+    failed: float
+    at: float
+
+
+class ServerTrust:
+    """Recent share of failures of each backend server."""
+
+    def __init__(self) -> None:
+        """Trust all."""
+        self._records: dict[str, _Record] = {}
+
+    def note_outcome(self, server: str, now: float, *, failed: bool) -> None:
+        """Take note of an outcome.
+
+        :param server: id of the server.
+        :param now: seconds.
+        :param failed: whether it failed.
+        """
+        before = 1 - self.measure(server, now)
+        share = before + OUTCOME_WEIGHT * (float(failed) - before)
+        self._records[server] = _Record(share, now)
+
+    def measure(self, server: str, now: float) -> float:
+        """Measure the trust in a server.
+
+        :param server: its id.
+        :param now: seconds.
+        :returns: 1 for all, near 0 for one that fails always.
+        """
+        record = self._records.get(server)
+        if record is None:
+            return 1
+        return 1 - record.failed * math.exp((record.at - now) / FORGET_TIME)
+
+    def forget(self, server: str) -> None:
+        """Forget a server that is gone.
+
+        :param server: its id.
+        """
+        self._records.pop(server, None)
--- /dev/null
+++ b/src/dykemast/_internal/platform/settings.py
@@ -0,0 +1,118 @@
+"""Settings of a process, from the platform's file."""
+
+import os
+import tomllib
+from collections.abc import Callable
+from typing import Any, Final
+
+from dykemast._internal.exceptions import Finding, InvalidFileError
+from dykemast._internal.models.deployment import (
+    Bounds,
+    Endpoint,
+    InstanceSettings,
+    Listeners,
+)
+
+#: Environment variable that names the settings file.
+PATH_VARIABLE: Final = 'DYKEMAST_SETTINGS'
+#: Port of the metrics, as in deploy/system.toml.
+METRICS_PORT: Final = 9464
+#: Descriptors that the platform keeps back for files.
+_FILE_DESCRIPTORS: Final = 200
+
+
+class _Reader:
+    """Reads fields of the file and collects findings."""
+
+    def __init__(self, path: str, document: dict[str, Any]) -> None:
+        self.path = path
+        self.findings: list[Finding] = []
+        self._document = document
+
+    def read(self, field: str, convert: Callable[[Any], Any]) -> Any:
+        found: Any = self._document
+        for part in field.split('.'):
+            found = found.get(part) if isinstance(found, dict) else None
+        if found is None:
+            self._add(field, 'missing.')
+            return None
+        try:
+            return convert(found)
+        except (TypeError, ValueError, IndexError) as error:
+            self._add(field, f'not usable: {error}.')
+        return None
+
+    def _add(self, field: str, text: str) -> None:
+        self.findings.append(Finding(self.path, 0, field, text))
+
+
+def read_settings() -> InstanceSettings:
+    """Read the settings of this process.
+
+    :returns: the settings; unknown fields are ignored.
+    :raises InvalidFileError: with all findings.
+    """
+    path = os.environ.get(PATH_VARIABLE, '')
+    if not path:
+        text = 'not set; it names the settings file.'
+        raise InvalidFileError([Finding('environment', 0, PATH_VARIABLE, text)])
+    try:
+        with open(path, 'rb') as source:
+            document = tomllib.load(source)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise InvalidFileError([Finding(path, 0, '', str(error))]) from error
+    return _decode_settings(_Reader(path, document))
+
+
+def _decode_settings(reader: _Reader) -> InstanceSettings:
+    settings = InstanceSettings(
+        name=reader.read('nodeName', str),
+        hall=reader.read('zone', str),
+        listeners=_decode_listeners(reader),
+        store=reader.read('platform.address', decode_endpoint),
+        bounds=_decode_bounds(reader),
+        max_connections=reader.read('limits.maxFds', _count_connections),
+    )
+    if reader.findings:
+        raise InvalidFileError(reader.findings)
+    return settings
+
+
+def _decode_listeners(reader: _Reader) -> Listeners:
+    host = reader.read('ip', str)
+    first_port = reader.read('portRange', lambda ports: int(ports[0]))
+    return Listeners(
+        caller=reader.read('listen.frontend', decode_endpoint),
+        readiness=reader.read('listen.readiness', decode_endpoint),
+        # The registry tells callers where to go.
+        entry=reader.read('listen.directory', decode_endpoint),
+        peer=Endpoint(host, first_port or 0),
+        metrics=Endpoint(host, METRICS_PORT),
+    )
+
+
+def _decode_bounds(reader: _Reader) -> Bounds:
+    return Bounds(
+        stop_timeout=reader.read('bounds.graceS', float),
+        retry_ratio=reader.read('bounds.retryBudgetRatio', float),
+        retry_slack=reader.read('bounds.budgetSlack', float),
+        retry_window=reader.read('bounds.budgetWindowS', float),
+        max_entry_ttl=reader.read('bounds.ttl_max_s', float),
+    )
+
+
+def decode_endpoint(text: str) -> Endpoint:
+    """Decode ``IP:PORT``.
+
+    :param text: the address.
+    :returns: the endpoint.
+    :raises ValueError: when it is none.
+    """
+    host, _, port = text.rpartition(':')
+    if not host:
+        raise ValueError(f'{text!r} is not IP:PORT')
+    return Endpoint(host, int(port))
+
+
+def _count_connections(descriptors: int) -> int:
+    return int(descriptors) - _FILE_DESCRIPTORS
--- /dev/null
+++ b/src/dykemast/_internal/serving/admission.py
@@ -0,0 +1,81 @@
+"""Decide whether a request may be served, and for whom."""
+
+import random
+import time
+from typing import Any, Final
+
+from dykemast._internal.models.caller_request import CallerRequest
+from dykemast._internal.models.routing_table import (
+    Route,
+    RoutingTable,
+    Share,
+    Workspace,
+)
+from dykemast._internal.platform.headers import decode_request
+from dykemast._internal.serving.parts import Parts, Ticket
+from dykemast._internal.serving.refusals import RefusalCode, RefusedError
+
+#: Seconds after which a caller may come back when no configuration is known:
+#: a router that starts reads it within a few tenths.
+CONFIGURATION_RETRY: Final = 0.5
+
+
+def admit(parts: Parts, scope: Any) -> Ticket:
+    """Let a request in.
+
+    :param parts: parts of the program.
+    :param scope: ASGI scope of the request.
+    :returns: what decides its way.
+    :raises RefusedError: when it is not served.
+    """
+    request = _decode(scope)
+    table = parts.board.table
+    if table is None:
+        raise RefusedError(
+            RefusalCode.no_configuration, retry_after=CONFIGURATION_RETRY
+        )
+    route = table.find_route(request.host, request.path)
+    if route is None:
+        details = {'version': table.version, 'path': request.path}
+        raise RefusedError(RefusalCode.no_route, details)
+    started = time.monotonic()
+    patience = request.patience
+    allowed = route.timeout if patience is None else min(patience, route.timeout)
+    return Ticket(
+        request=request,
+        route=route,
+        service=table.services[_draw_share(route.shares)],
+        workspace=_find_workspace(table, route, request),
+        started=started,
+        deadline=started + allowed,
+        version=table.version,
+    )
+
+
+def _decode(scope: Any) -> CallerRequest:
+    try:
+        request = decode_request(scope)
+    except ValueError as error:
+        details = {'reason': str(error)}
+        raise RefusedError(RefusalCode.malformed, details) from error
+    if not request.request_id:
+        raise RefusedError(RefusalCode.malformed, {'reason': 'no id'})
+    return request
+
+
+def _find_workspace(
+    table: RoutingTable,
+    route: Route,
+    request: CallerRequest,
+) -> Workspace | None:
+    if route.public or not table.workspaces:
+        return None
+    workspace = table.find_workspace(request.key)
+    if workspace is None:
+        raise RefusedError(RefusalCode.wrong_key, {'version': table.version})
+    return workspace
+
+
+def _draw_share(shares: tuple[Share, ...]) -> str:
+    weights = [share.weight for share in shares]
+    return random.choices(shares, weights)[0].service
--- /dev/null
+++ b/src/dykemast/_internal/serving/board.py
@@ -0,0 +1,70 @@
+"""Blackboard of the program: what its parts know, and who writes it."""
+
+import dataclasses
+
+from dykemast._internal.models.backend import BackendServer
+from dykemast._internal.models.deployment import InstanceSettings
+from dykemast._internal.models.fleet import PeerCard
+from dykemast._internal.models.routing_table import RoutingTable
+
+
+@dataclasses.dataclass
+class Peer:
+    """Another router as last heard of.
+
+    :param card: what it tells about itself.
+    :param heard_at: seconds at which it last told something; 0 for never.
+    """
+
+    card: PeerCard
+    heard_at: float = 0
+
+
+@dataclasses.dataclass
+class ServingBoard:
+    """What the parts of one router share. Each field names its writer.
+
+    :param settings: of this process; ``serving.reload``.
+    :param incarnation: random, fresh for this process start.
+    :param table: configuration in force; ``serving.configuration``.
+    :param table_raw: the same, as it came; ``serving.configuration``.
+    :param servers: backend servers by id; ``serving.backends``.
+    :param leaving: ids of servers that are leaving; only ever grows while
+        they are listed; ``serving.backends`` and ``serving.gossip``.
+    :param peers: other routers by instance; ``serving.members`` adds and
+        removes them, ``serving.gossip`` hears from them.
+    :param inflight: requests in progress; ``serving.application``.
+    :param stopping: whether this router is about to end;
+        ``serving.runtime``.
+    :param store_away_since: seconds since when the store does not answer,
+        0 while it does; ``serving.followers``.
+    """
+
+    settings: InstanceSettings
+    incarnation: str
+    table: RoutingTable | None = None
+    table_raw: bytes = b''
+    servers: dict[str, BackendServer] = dataclasses.field(default_factory=dict)
+    leaving: set[str] = dataclasses.field(default_factory=set)
+    peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
+    inflight: int = 0
+    stopping: bool = False
+    store_away_since: float = 0
+
+    def make_card(self) -> PeerCard:
+        """Describe this router to others.
+
+        :returns: its card.
+        """
+        listeners = self.settings.listeners
+        return PeerCard(
+            instance=self.settings.name,
+            incarnation=self.incarnation,
+            hall=self.settings.hall,
+            host=listeners.caller.host,
+            caller_port=listeners.caller.port,
+            peer_port=listeners.peer.port,
+            revision=self.table.version if self.table else 0,
+            inflight=self.inflight,
+            leaving=self.stopping,
+        )
--- /dev/null
+++ b/src/dykemast/_internal/serving/choices.py
@@ -0,0 +1,81 @@
+"""Choose the backend server of a request from what is known now."""
+
+import random
+import time
+from collections.abc import Iterable
+
+from dykemast._internal.models.backend import BackendServer
+from dykemast._internal.operations.server_choice import (
+    EngineOption,
+    ServiceOption,
+    choose_engine,
+    choose_plain,
+)
+from dykemast._internal.serving.backends import list_usable
+from dykemast._internal.serving.parts import Parts, Ticket
+
+
+def choose_server(
+    parts: Parts,
+    ticket: Ticket,
+    tried: Iterable[str],
+) -> BackendServer | None:
+    """Choose a backend server.
+
+    :param parts: parts of the program.
+    :param ticket: the request.
+    :param tried: servers that had it before.
+    :returns: a server, or nothing when there is none left.
+    """
+    usable = [
+        server
+        for server in list_usable(parts.board, ticket.service.name)
+        if server.name not in tried
+    ]
+    if ticket.service.engine:
+        options = [_weigh_engine(parts, ticket, one) for one in usable]
+        name = choose_engine(options, random.random)
+    else:
+        name = choose_plain(
+            [_weigh_plain(parts, one) for one in usable], random.random
+        )
+    return parts.board.servers[name] if name else None
+
+
+def count_missing(parts: Parts, ticket: Ticket, server: str) -> int:
+    """Count the prompt tokens that an engine would have to read.
+
+    :param parts: parts of the program.
+    :param ticket: the request.
+    :param server: id of the engine.
+    :returns: tokens.
+    """
+    request = ticket.request
+    kept = parts.loads.count_kept(server, request.prompt)
+    return max(0, request.prompt_tokens - kept)
+
+
+def _weigh_engine(
+    parts: Parts,
+    ticket: Ticket,
+    server: BackendServer,
+) -> EngineOption:
+    load = parts.loads.measure(server.name)
+    return EngineOption(
+        server=server.name,
+        running=load.running,
+        slots=server.slots,
+        unread=load.unread,
+        missing=count_missing(parts, ticket, server.name),
+        trust=parts.trust.measure(server.name, time.monotonic()),
+    )
+
+
+def _weigh_plain(parts: Parts, server: BackendServer) -> ServiceOption:
+    return ServiceOption(
+        server=server.name,
+        running=parts.loads.measure(server.name).running,
+        slots=server.slots,
+        near=server.hall == parts.board.settings.hall,
+        trust=parts.trust.measure(server.name, time.monotonic()),
+    )
--- /dev/null
+++ b/src/dykemast/_internal/serving/configuration.py
@@ -0,0 +1,83 @@
+"""Keep the newest configuration in force."""
+
+import msgspec
+
+from dykemast._internal.exceptions import DykemastError
+from dykemast._internal.platform.configuration import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    decode_configuration,
+)
+from dykemast._internal.platform.objects import StoreObject
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.followers import Follower
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('configuration')
+
+
+class ConfigurationError(DykemastError):
+    """A peer sent a configuration that makes no sense."""
+
+
+def make_follower(board: ServingBoard) -> Follower:
+    """Make what follows the configuration object.
+
+    :param board: the blackboard.
+    :returns: the follower.
+    """
+
+    def take_object(stored: StoreObject) -> None:
+        if stored.name == CONFIGURATION_NAME:
+            take_configuration(board, stored, 'store')
+
+    def ignore(_: object) -> None:
+        # A configuration that is gone from the store stays in force.
+        return
+
+    return Follower(CONFIGURATION_KIND, take_object, ignore, ignore)
+
+
+def take_configuration(
+    board: ServingBoard,
+    stored: StoreObject,
+    source: str,
+) -> None:
+    """Put a configuration in force if it is newer.
+
+    :param board: the blackboard.
+    :param stored: the object that holds it.
+    :param source: where it came from.
+    :raises KeyError, TypeError, ValueError: when it makes no sense.
+    """
+    table = decode_configuration(stored)
+    before = board.table.version if board.table else 0
+    if table.version <= before:
+        return
+    board.table = table
+    board.table_raw = msgspec.msgpack.encode(stored)
+    _log(
+        'configuration_in_force',
+        version=table.version,
+        before=before,
+        revision=stored.revision,
+        source=source,
+        routes=sum(len(found) for found in table.routes.values()),
+        workspaces=len(table.workspaces),
+    )
+
+
+def take_from_peer(board: ServingBoard, body: bytes, peer: str) -> None:
+    """Put a peer's configuration in force if it is newer.
+
+    :param board: the blackboard.
+    :param body: as the peer keeps it.
+    :param peer: its instance.
+    :raises ConfigurationError: when it makes no sense.
+    """
+    try:
+        stored = msgspec.msgpack.decode(body, type=StoreObject)
+        take_configuration(board, stored, peer)
+    except (KeyError, TypeError, ValueError) as error:
+        text = f'{peer} sent a configuration that is not usable: {error}'
+        raise ConfigurationError(text) from error
--- /dev/null
+++ b/src/dykemast/_internal/serving/entry.py
@@ -0,0 +1,99 @@
+"""Answers that are not requests of a route: entry, readiness, metrics."""
+
+import random
+import time
+from typing import Any, Final
+
+import msgspec
+
+from dykemast._internal.models.deployment import Endpoint
+from dykemast._internal.platform.headers import decode_entry_name, encode_entry
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.gossip import list_heard
+from dykemast._internal.serving.meters import render_meters
+from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.responder import Receive, Responder, Send
+
+#: Seconds for which callers may keep an entry answer: long enough that they
+#: ask seldom, short enough that a stopped router is left in time.
+ENTRY_TTL: Final = 1.5
+#: Addresses in one answer at most.
+MAX_ADDRESSES: Final = 64
+_OK: Final = 200
+_NOT_READY: Final = 503
+_JSON: Final = [(b'content-type', b'application/json')]
+_TEXT: Final = [(b'content-type', b'text/plain; version=0.0.4')]
+
+
+def make_side_application(parts: Parts) -> Any:
+    """Make the application for all that is not a request of a route.
+
+    :param parts: parts of the program.
+    :returns: the ASGI application.
+    """
+
+    async def application(scope: Any, receive: Receive, send: Send) -> None:
+        responder = Responder(send, lambda: False)
+        port = scope['server'][1]
+        listeners = parts.board.settings.listeners
+        if port == listeners.entry.port:
+            await _answer_entry(parts.board, scope, responder)
+        elif port == listeners.metrics.port:
+            await _answer_metrics(parts, responder)
+        else:
+            ready = is_ready(parts.board)
+            await responder.answer(_OK if ready else _NOT_READY, [], b'')
+
+    return application
+
+
+def is_ready(board: ServingBoard) -> bool:
+    """Tell whether this router takes requests.
+
+    :param board: the blackboard.
+    :returns: whether it does.
+    """
+    return board.table is not None and not board.stopping
+
+
+async def _answer_entry(
+    board: ServingBoard,
+    scope: Any,
+    responder: Responder,
+) -> None:
+    addresses = _list_addresses(board)
+    if not decode_entry_name(scope) or not addresses:
+        await responder.answer(_NOT_READY, [], b'')
+        return
+    ttl = min(ENTRY_TTL, board.settings.bounds.max_entry_ttl)
+    body = msgspec.json.encode(encode_entry(addresses, ttl))
+    await responder.answer(_OK, _JSON, body)
+
+
+def _list_addresses(board: ServingBoard) -> list[Endpoint]:
+    cards = [peer.card for peer in list_heard(board)]
+    if not cards:
+        # Nobody is heard: more likely this router is cut off than all others.
+        cards = [peer.card for peer in board.peers.values()]
+    found = [
+        Endpoint(card.host, card.caller_port)
+        for card in cards
+        if not card.leaving and card.revision
+    ]
+    random.shuffle(found)
+    own = [board.settings.listeners.caller] if is_ready(board) else []
+    return (own + found)[:MAX_ADDRESSES]
+
+
+async def _answer_metrics(parts: Parts, responder: Responder) -> None:
+    board = parts.board
+    away = board.store_away_since
+    state = {
+        'inflight': board.inflight,
+        'configuration': board.table.version if board.table else 0,
+        'servers': len(board.servers),
+        'peers_heard': len(list(list_heard(board))),
+        'store_away_s': time.monotonic() - away if away else 0,
+    }
+    body = render_meters(parts.meters, state)
+    await responder.answer(_OK, _TEXT, body)
--- /dev/null
+++ b/src/dykemast/_internal/serving/meters.py
@@ -0,0 +1,74 @@
+"""Counters and times for monitoring."""
+
+from typing import Final, NamedTuple
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+#: Bounds of the histograms in seconds, around the users' objectives.
+_BUCKETS: Final = (0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15)
+
+
+class Meters(NamedTuple):
+    """Metrics of one router.
+
+    :param registry: all of them.
+    :param requests: requests ended, by route kind and outcome.
+    :param refusals: refusals by code.
+    :param sends: sends to backend servers, by service and outcome.
+    :param first_byte: seconds until an answer began.
+    :param whole: seconds until an answer was whole.
+    :param tokens: tokens held and consumed.
+    :param store_calls: calls to the store by kind.
+    :param gauges: state at the moment of asking.
+    """
+
+    registry: Registry
+    requests: Counter
+    refusals: Counter
+    sends: Counter
+    first_byte: Histogram
+    whole: Histogram
+    tokens: Counter
+    store_calls: Counter
+    gauges: Gauge
+
+
+def make_meters() -> Meters:
+    """Make the metrics, all at zero.
+
+    :returns: the metrics.
+    """
+    registry = Registry()
+
+    def count(name: str, text: str) -> Counter:
+        return Counter(f'dykemast_{name}', text, registry=registry)
+
+    def time(name: str, text: str) -> Histogram:
+        return Histogram(
+            f'dykemast_{name}_seconds', text, registry=registry, buckets=_BUCKETS
+        )
+
+    return Meters(
+        registry,
+        count('requests_total', 'Requests ended.'),
+        count('refusals_total', 'Refusals by code.'),
+        count('sends_total', 'Sends to backend servers.'),
+        time('first_byte', 'Time until an answer began.'),
+        time('whole', 'Time until an answer was whole.'),
+        count('tokens_total', 'Tokens held and consumed.'),
+        count('store_calls_total', 'Calls to the store.'),
+        Gauge('dykemast_state', 'State of this router.', registry=registry),
+    )
+
+
+def render_meters(meters: Meters, state: dict[str, float]) -> bytes:
+    """Write the metrics in the usual text format.
+
+    :param meters: the metrics.
+    :param state: gauges by name.
+    :returns: the text.
+    """
+    for name, amount in state.items():
+        meters.gauges.set({'of': name}, amount)
+    text, _ = render(meters.registry, ['text/plain'])
+    return text
