--- a/src/dykemast/_internal/operations/allowance.py
+++ b/src/dykemast/_internal/operations/allowance.py
@@ -39,7 +39,7 @@
 
 #: Part of the free tokens that all routers together may keep spare. Half of
 #: it leaves as much for the one that meets a rush.
-SPARE_SHARE: Final = 0.5
+SPARE_SHARE: Final = 1.0
 
 
 class Want(NamedTuple):
@@ -156,7 +156,7 @@
         needed = self._count_needed()
         free = max(0, ledger.count_free() + before - needed)
         rest = max(0, free - want.pending)
-        share = int(rest * SPARE_SHARE / max(1, terms.routers))
+        share = measure_share(rest, terms.routers)
         return needed + min(free, want.pending + min(want.spare, share))
 
     def _count_needed(self) -> int:
@@ -187,6 +187,16 @@
         )
 
 
+def measure_share(free: int, routers: int) -> int:
+    """Measure how many free tokens one router may keep spare.
+
+    :param free: tokens that no router may consume yet.
+    :param routers: routers that share the budget.
+    :returns: tokens.
+    """
+    return int(free * SPARE_SHARE / max(1, routers))
+
+
 def _find_rows(
     ledger: BudgetLedger,
     is_wanted: Callable[[str, LedgerRow], bool],
--- a/src/dykemast/_internal/serving/accounts.py
+++ b/src/dykemast/_internal/serving/accounts.py
@@ -8,17 +8,24 @@
 import msgspec
 
 from dykemast._internal.models.news import BudgetLedger
-from dykemast._internal.operations.allowance import Allowance, Terms, Want
+from dykemast._internal.operations.allowance import (
+    Allowance,
+    Terms,
+    Want,
+    measure_share,
+)
 from dykemast._internal.platform.objects import StoreObject
 
 #: Kind of the objects that hold the budgets.
 BUDGET_KIND: Final = 'dykemast-budgets'
-#: Seconds over which demand is averaged; about ten requests of a busy
-#: workspace at one router.
-DEMAND_WINDOW: Final = 5.0
-#: Seconds of demand to keep spare: the longest outage of the store that the
-#: users describe takes 4 to 9 s, and a router that dies loses its spare.
-SPARE_TIME: Final = 5.0
+#: Seconds over which demand is averaged: some requests of a workspace at
+#: one router, which come about once a second and differ in size.
+DEMAND_WINDOW: Final = 8.0
+#: Seconds of demand to keep spare. Cuts last about 8 s, and a request holds
+#: about twice what it consumes.
+SPARE_TIME: Final = 20.0
+#: Tokens to keep spare at least, where there are enough: a request or two.
+MIN_SPARE: Final = 16_000
 
 
 class Hold(NamedTuple):
@@ -43,16 +50,23 @@
         """Know nothing of the store yet."""
         self.workspace = workspace
         self.allowance = allowance
-        self.lock = asyncio.Lock()
         #: Tokens that requests are waiting for.
         self.pending = 0
+        #: Looks for tokens now, unless it is done.
+        self.search: asyncio.Task[Any] | None = None
+        #: Whether the store failed when it was last asked.
+        self.is_away = False
+        #: Whether nothing is to be kept spare any more.
+        self.is_closing = False
         #: The object as last seen; None when it has to be read first.
         self.stored: StoreObject | None = None
         self.ledger: BudgetLedger | None = None
+        self.revision = 0
         self.written_at = -math.inf
-        #: A hold of this size was refused, and until when that is believed.
-        self.short_of = 0
         self.short_until = -math.inf
+        #: A hold of this size was refused.
+        self._short_of = 0
+        self._routers = 1
         self._demand = 0.0
         self._demand_at = time.monotonic()
 
@@ -72,12 +86,41 @@
         passed = time.monotonic() - self._demand_at
         return self._demand * math.exp(-passed / DEMAND_WINDOW) / DEMAND_WINDOW
 
-    def measure_spare(self) -> int:
+    def measure_target(self) -> int:
         """Measure how many tokens should be kept spare.
 
-        :returns: tokens.
+        :returns: tokens, no more than this router's share.
         """
-        return int(self.measure_demand() * SPARE_TIME)
+        free = max(0, self.ledger.count_free()) if self.ledger else 0
+        room = self.allowance.count_room()
+        share = measure_share(free + room, self._routers)
+        return min(self._measure_spare(), share)
+
+    def is_short_of(self, tokens: int) -> bool:
+        """Tell whether there were too few tokens a moment ago.
+
+        :param tokens: how many are wanted.
+        :returns: whether no more than now were refused.
+        """
+        return tokens >= self._short_of and time.monotonic() < self.short_until
+
+    def note_short(self, tokens: int, until: float) -> None:
+        """Remember that there are too few tokens.
+
+        :param tokens: how many were refused.
+        :param until: seconds on the steady clock.
+        """
+        self._short_of = tokens
+        self.short_until = until
+
+    def take_written(self, written: StoreObject) -> None:
+        """Use what the store has confirmed.
+
+        :param written: the object.
+        """
+        self.see(written)
+        if self.ledger:
+            self.allowance.take_written(self.ledger)
 
     def see(self, stored: StoreObject) -> None:
         """Take note of the object as it is in the store.
@@ -85,6 +128,7 @@
         :param stored: the object; revision 0 when there is none.
         """
         self.stored = stored
+        self.revision = stored.revision
         self.ledger = _decode_ledger(stored.spec) if stored.revision else None
 
     def take_conflict(self, current: StoreObject | None) -> None:
@@ -107,12 +151,18 @@
         :param terms: what bounds the row.
         :returns: the object to write.
         """
-        want = Want(self.pending, self.measure_spare())
+        self._routers = terms.routers
+        want = Want(self.pending, self._measure_spare())
         planned = self.allowance.plan_write(self.ledger, terms, want)
         revision = self.stored.revision if self.stored else 0
         spec = msgspec.to_builtins(planned)
         return StoreObject(self.workspace, revision, spec)
 
+    def _measure_spare(self) -> int:
+        if self.is_closing:
+            return 0
+        return max(MIN_SPARE, int(self.measure_demand() * SPARE_TIME))
+
 
 def _decode_ledger(spec: Any) -> BudgetLedger:
     return msgspec.convert(spec, BudgetLedger)
--- a/src/dykemast/_internal/serving/board.py
+++ b/src/dykemast/_internal/serving/board.py
@@ -1,5 +1,6 @@
 """Blackboard of the program: what its parts know, and who writes it."""
 
+import asyncio
 import dataclasses
 
 from dykemast._internal.models.backend import BackendServer
@@ -27,6 +28,8 @@
     :param settings: of this process; ``serving.reload``.
     :param incarnation: random, fresh for this process start.
     :param table: configuration in force; ``serving.configuration``.
+    :param table_changed: set when another one came in force;
+        ``serving.configuration``.
     :param table_raw: the same, as it came; ``serving.configuration``.
     :param servers: backend servers by id; ``serving.backends``.
     :param leaving: ids of servers that are leaving; only ever grows while
@@ -43,6 +46,9 @@
     settings: InstanceSettings
     incarnation: str
     table: RoutingTable | None = None
+    table_changed: asyncio.Event = dataclasses.field(
+        default_factory=asyncio.Event
+    )
     table_raw: bytes = b''
     servers: dict[str, BackendServer] = dataclasses.field(default_factory=dict)
     leaving: set[str] = dataclasses.field(default_factory=set)
--- a/src/dykemast/_internal/serving/configuration.py
+++ b/src/dykemast/_internal/serving/configuration.py
@@ -55,6 +55,7 @@
     if table.version <= before:
         return
     board.table = table
+    board.table_changed.set()
     board.table_raw = msgspec.msgpack.encode(stored)
     _log(
         'configuration_in_force',
--- a/src/dykemast/_internal/serving/runtime.py
+++ b/src/dykemast/_internal/serving/runtime.py
@@ -127,6 +127,7 @@
         *(follow_kind(board, store, follower) for follower in followers),
         _list_self(board, store),
         gossip.spread(),
+        parts.budgets.follow_table(),
         parts.budgets.review(),
     ]
 
