Bound the age of configuration and servers by reads that news share

Ruled out: shorter watches in each router, six times the priced calls. Change: a router reads the whole kind when nobody did for 0.7 to 1.2 s; news carry the age of what each knows.

--- a/src/dykemast/_internal/models/news.py
+++ b/src/dykemast/_internal/models/news.py
@@ -38,12 +38,14 @@
     :param leaving: backend servers known to be leaving.
     :param loads: its requests at backend servers.
     :param prompts: prompts sent since the last news.
+    :param ages: seconds since a kind of objects was read whole, by kind.
     """
 
     card: PeerCard
     leaving: tuple[str, ...]
     loads: tuple[ServerLoad, ...]
     prompts: tuple[SentPrompt, ...]
+    ages: dict[str, float]
 
 
 class LedgerRow(NamedTuple):
--- a/src/dykemast/_internal/serving/board.py
+++ b/src/dykemast/_internal/serving/board.py
@@ -31,6 +31,8 @@
     :param table_changed: set when another one came in force;
         ``serving.configuration``.
     :param table_raw: the same, as it came; ``serving.configuration``.
+    :param checked_at: seconds at which a kind was last read whole, here or
+        at a peer whose news arrived; ``serving.freshness``.
     :param servers: backend servers by id; ``serving.backends``.
     :param leaving: ids of servers that are leaving; only ever grows while
         they are listed; ``serving.backends`` and ``serving.gossip``.
@@ -50,6 +52,7 @@
         default_factory=asyncio.Event
     )
     table_raw: bytes = b''
+    checked_at: dict[str, float] = dataclasses.field(default_factory=dict)
     servers: dict[str, BackendServer] = dataclasses.field(default_factory=dict)
     leaving: set[str] = dataclasses.field(default_factory=set)
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
--- a/src/dykemast/_internal/serving/followers.py
+++ b/src/dykemast/_internal/serving/followers.py
@@ -75,14 +75,19 @@
 ) -> int:
     if revision is None:
         listing = await store.list_kind(follower.kind)
-        _take_listing(follower, listing)
+        take_listing(follower, listing)
         return listing.revision
     changes = await store.watch(follower.kind, revision)
     _take_changes(follower, changes)
     return changes.revision
 
 
-def _take_listing(follower: Follower, listing: Listing) -> None:
+def take_listing(follower: Follower, listing: Listing) -> None:
+    """Take what a listing shows.
+
+    :param follower: what to do with the objects.
+    :param listing: all objects of its kind.
+    """
     for stored in listing.objects:
         _take(follower, stored)
     follower.take_names({stored.name for stored in listing.objects})
--- /dev/null
+++ b/src/dykemast/_internal/serving/freshness.py
@@ -0,0 +1,97 @@
+"""Make sure that what is known of the store is not older than a bound.
+
+A watch may be silent although something changed. So some router reads the
+kind from time to time, and all others learn from its news how old their own
+knowledge is at the most: each reads only when nobody did for a while.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+
+from dykemast._internal.exceptions import PlatformError
+from dykemast._internal.platform.objects import ObjectStore
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.followers import Follower, take_listing
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('freshness')
+
+#: Seconds between two looks.
+_PAUSE: Final = 0.1
+#: Seconds before another try after a failure.
+RETRY_PAUSE: Final = 0.5
+#: Age, as a part of the bound, from which a router may read; which one does
+#: is left to chance, so that they seldom do it at once.
+MIN_AGE: Final = 0.6
+
+
+class Checked(NamedTuple):
+    """A kind whose age is bounded.
+
+    :param follower: takes what is read.
+    :param bound: seconds that knowledge may be old.
+    """
+
+    follower: Follower
+    bound: float
+
+
+async def keep_fresh(
+    board: ServingBoard,
+    store: ObjectStore,
+    checked: Checked,
+) -> None:
+    """Read a kind when nobody did for a while, for ever.
+
+    :param board: the blackboard.
+    :param store: the object store.
+    :param checked: what to read.
+    """
+    kind = checked.follower.kind
+    while True:
+        limit = checked.bound * random.uniform(MIN_AGE, 1)
+        while time.monotonic() - board.checked_at.get(kind, 0) < limit:
+            await asyncio.sleep(_PAUSE)
+        await _read(board, store, checked.follower)
+
+
+def tell_ages(board: ServingBoard) -> dict[str, float]:
+    """Tell peers how old the knowledge of each kind is.
+
+    :param board: the blackboard.
+    :returns: seconds by kind.
+    """
+    now = time.monotonic()
+    return {kind: now - at for kind, at in board.checked_at.items()}
+
+
+def note_ages(board: ServingBoard, ages: Mapping[str, float]) -> None:
+    """Take over that a peer read a kind, and what it found.
+
+    :param board: the blackboard; it knows what the peer found already.
+    :param ages: seconds by kind.
+    """
+    now = time.monotonic()
+    for kind, age in ages.items():
+        known = board.checked_at.get(kind, 0)
+        board.checked_at[kind] = max(known, now - age)
+
+
+async def _read(
+    board: ServingBoard,
+    store: ObjectStore,
+    follower: Follower,
+) -> None:
+    started = time.monotonic()
+    try:
+        listing = await store.list_kind(follower.kind)
+    except PlatformError as error:
+        if not board.store_away_since:
+            _log('not_read', kind=follower.kind, reason=str(error))
+        await asyncio.sleep(RETRY_PAUSE)
+        return
+    take_listing(follower, listing)
+    board.checked_at[follower.kind] = started
--- a/src/dykemast/_internal/serving/gossip.py
+++ b/src/dykemast/_internal/serving/gossip.py
@@ -14,7 +14,12 @@
 from dykemast._internal.network.peer_client import PeerClient
 from dykemast._internal.network.peer_codec import load_idl
 from dykemast._internal.network.peer_server import listen
-from dykemast._internal.serving import backends, configuration, members
+from dykemast._internal.serving import (
+    backends,
+    configuration,
+    freshness,
+    members,
+)
 from dykemast._internal.serving.board import Peer, ServingBoard
 from dykemast._internal.serving.loads import Loads
 from dykemast._internal.utils.events import make_logger
@@ -140,15 +145,14 @@
                 _log('peer_lost', peer=peer.card.instance, reason=str(error))
                 peer.heard_at = time.monotonic() - SILENCE
             return
-        newest = self._board.table.version if self._board.table else 0
-        if peer.card.revision > newest:
+        if peer.card.revision > self._count_version():
             await self._fetch_configuration(peer.card)
 
     async def _fetch_configuration(self, card: PeerCard) -> None:
-        newest = self._board.table.version if self._board.table else 0
+        words = (self._count_version(),)
         try:
             body = await self._client.call(
-                card, 'newer_configuration', (newest,), CALL_TIMEOUT
+                card, 'newer_configuration', words, CALL_TIMEOUT
             )
             if body:
                 configuration.take_from_peer(self._board, body, card.instance)
@@ -161,6 +165,7 @@
             leaving=tuple(self._board.leaving),
             loads=self._loads.tell_loads(),
             prompts=self._loads.tell_prompts(),
+            ages=freshness.tell_ages(self._board),
         )
         return msgspec.msgpack.encode(news)
 
@@ -177,6 +182,12 @@
         peer.heard_at = time.monotonic()
         backends.note_leaving(self._board, news.leaving, card.instance)
         self._loads.take_news(news)
+        if self._count_version() >= card.revision:
+            # Else the newer configuration has to be fetched first.
+            freshness.note_ages(self._board, news.ages)
+
+    def _count_version(self) -> int:
+        return self._board.table.version if self._board.table else 0
 
     async def _exchange(self, body: bytes) -> bytes:
         self._take_news(body)
--- a/src/dykemast/_internal/serving/runtime.py
+++ b/src/dykemast/_internal/serving/runtime.py
@@ -18,6 +18,7 @@
 from dykemast._internal.serving.budgets import Budgets
 from dykemast._internal.serving.entry import ENTRY_TTL, make_side_application
 from dykemast._internal.serving.followers import follow_kind
+from dykemast._internal.serving.freshness import Checked, keep_fresh
 from dykemast._internal.serving.gossip import Gossip
 from dykemast._internal.serving.loads import Loads
 from dykemast._internal.serving.meters import make_meters
@@ -27,6 +28,10 @@
 
 _log = make_logger('router')
 
+#: Seconds that the configuration may be old; users allow 2 s.
+CONFIGURATION_AGE: Final = 1.2
+#: Seconds that the list of backend servers may be old; users allow 2 s.
+SERVERS_AGE: Final = 1.6
 #: Connections that wait to be accepted.
 BACKLOG: Final = 512
 #: Times the length of an entry answer's life that some callers keep it for.
@@ -118,12 +123,12 @@
     gossip: Gossip,
 ) -> list[Coroutine[Any, Any, None]]:
     board = parts.board
-    followers = (
-        configuration.make_follower(board),
-        backends.make_follower(board),
-        members.make_follower(board),
-    )
+    tables = configuration.make_follower(board)
+    servers = backends.make_follower(board)
+    followers = (tables, servers, members.make_follower(board))
     return [
+        keep_fresh(board, store, Checked(tables, CONFIGURATION_AGE)),
+        keep_fresh(board, store, Checked(servers, SERVERS_AGE)),
         *(follow_kind(board, store, follower) for follower in followers),
         _list_self(board, store),
         gossip.spread(),
