Keep spare tokens where requests come, for some seconds; read the store in turns

Cause: an equal split of the spare tokens left most of them at routers that a workspace hardly meets; refusals asked to come back within the same cut; all six routers read the configuration about once a second. The time of day as a proof of how long ago a process ended: it jumps.

--- a/src/dykemast/_internal/commands/instance.py
+++ b/src/dykemast/_internal/commands/instance.py
@@ -43,7 +43,8 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: _reload(board))
     runtime = await open_runtime(board)
-    _log('started', hall=board.settings.hall)
+    import time
+    _log('started', hall=board.settings.hall, mono=time.monotonic(), boot=open('/proc/sys/kernel/random/boot_id').read(), up=open('/proc/uptime').read(),bt=time.clock_gettime(time.CLOCK_BOOTTIME))
     await stop.wait()
     await runtime.stop()
     writing.cancel()
--- /dev/null
+++ b/src/dykemast/_internal/models/budget_ledger.py
@@ -0,0 +1,62 @@
+"""A workspace's budget, as it is written down in the store."""
+
+from typing import NamedTuple
+
+
+class LedgerRow(NamedTuple):
+    """What one incarnation of a router may consume of a budget.
+
+    :param instance: its instance.
+    :param limit: tokens that it may have consumed, at the most.
+    :param spent: tokens that are known to be consumed.
+    :param charged: tokens that were consumed, held or lent when it was
+        written.
+    :param demand: tokens a second that requests asked for lately.
+    """
+
+    instance: str
+    limit: int
+    spent: int
+    charged: int
+    demand: float
+
+
+class BudgetLedger(NamedTuple):
+    """A workspace's budget in the store.
+
+    :param version: of the configuration that ``prepaid`` is from.
+    :param prepaid: tokens paid for.
+    :param rows: by incarnation.
+    :param closed: tokens charged for ended incarnations.
+    :param closed_spent: tokens that these are known to have consumed.
+    """
+
+    version: int
+    prepaid: int
+    rows: dict[str, LedgerRow]
+    closed: int = 0
+    closed_spent: int = 0
+
+    def count_free(self) -> int:
+        """Count the tokens that no router may consume yet.
+
+        :returns: tokens; negative when the budget was lowered.
+        """
+        limits = sum(row.limit for row in self.rows.values())
+        return self.prepaid - self.closed - limits
+
+    def count_unused(self) -> int:
+        """Count the tokens that are neither consumed nor held, so far known.
+
+        :returns: tokens; negative when the budget was lowered.
+        """
+        charged = sum(row.charged for row in self.rows.values())
+        return self.prepaid - self.closed - charged
+
+    def count_unspent(self) -> int:
+        """Count the tokens that are not known to be consumed.
+
+        :returns: tokens.
+        """
+        spent = sum(row.spent for row in self.rows.values())
+        return self.prepaid - self.closed_spent - spent
--- a/src/dykemast/_internal/models/news.py
+++ b/src/dykemast/_internal/models/news.py
@@ -1,4 +1,4 @@
-"""What routers tell each other, and how a budget is written down."""
+"""What routers tell each other."""
 
 from typing import NamedTuple
 
@@ -46,49 +46,3 @@
     loads: tuple[ServerLoad, ...]
     prompts: tuple[SentPrompt, ...]
     ages: dict[str, float]
-
-
-class LedgerRow(NamedTuple):
-    """What one incarnation of a router may consume of a budget.
-
-    :param instance: its instance.
-    :param limit: tokens that it may have consumed, at the most.
-    :param spent: tokens that are known to be consumed.
-    """
-
-    instance: str
-    limit: int
-    spent: int
-
-
-class BudgetLedger(NamedTuple):
-    """A workspace's budget in the store.
-
-    :param version: of the configuration that ``prepaid`` is from.
-    :param prepaid: tokens paid for.
-    :param rows: by incarnation.
-    :param closed_limit: sum of the limits of ended incarnations.
-    :param closed_spent: sum of what these are known to have consumed.
-    """
-
-    version: int
-    prepaid: int
-    rows: dict[str, LedgerRow]
-    closed_limit: int = 0
-    closed_spent: int = 0
-
-    def count_free(self) -> int:
-        """Count the tokens that no router may consume yet.
-
-        :returns: tokens; negative when the budget was lowered.
-        """
-        limits = sum(row.limit for row in self.rows.values())
-        return self.prepaid - self.closed_limit - limits
-
-    def count_unspent(self) -> int:
-        """Count the tokens that are not known to be consumed.
-
-        :returns: tokens.
-        """
-        spent = sum(row.spent for row in self.rows.values())
-        return self.prepaid - self.closed_spent - spent
--- a/src/dykemast/_internal/network/peer_client.py
+++ b/src/dykemast/_internal/network/peer_client.py
@@ -76,9 +76,7 @@
     ) -> Any:
         client = await self._take(card)
         try:
-            answer = await getattr(client, method)(
-                *self._first_words, *words
-            )
+            answer = await getattr(client, method)(*self._first_words, *words)
         except BaseException:
             client.close()
             raise
--- a/src/dykemast/_internal/operations/allowance.py
+++ b/src/dykemast/_internal/operations/allowance.py
@@ -2,15 +2,32 @@
 
 The store keeps a row for each incarnation with the tokens that it may have
 consumed at the most. The sum of all rows never exceeds the budget, so that
-no fault can overspend it: a router consumes only below the lower of all
-limits that the store may hold for it. The row of a router that ends is
-charged in full; so little is kept spare.
+no fault can overspend it: a router consumes only what each row that the
+store may hold for it allows. The row of a router that ended is charged with
+all that it may have consumed by then.
 """
 
-from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from dykemast._internal.models.news import BudgetLedger, LedgerRow
+from dykemast._internal.models.budget_ledger import (
+    BudgetLedger,
+    LedgerRow,
+)
+
+#: Part of the unused tokens that all routers together may keep spare. What
+#: is spare serves requests in a cut, and is lost when its router dies; the
+#: figure is from trials on days that have both (docs/design/machines.md).
+SPARE_SHARE: Final = 0.5
+#: Seconds of demand to keep spare at most: cuts last some 8 s, and a request
+#: holds more than it consumes.
+SPARE_TIME: Final = 4.0
+#: Tokens to keep spare beyond that: a request of the larger kind.
+SPARE_FLOOR: Final = 8000
+#: Part of the mean demand that counts for each router, so that one without
+#: requests so far gets something too.
+DEMAND_FLOOR: Final = 0.1
+#: Tokens a second that count for each router at least.
+MIN_DEMAND: Final = 100
 
 
 class Identity(NamedTuple):
@@ -37,48 +54,65 @@
     routers: int
 
 
-#: Part of the free tokens that all routers together may keep spare. Half of
-#: it leaves as much for the one that meets a rush.
-SPARE_SHARE: Final = 1.0
-
-
 class Want(NamedTuple):
     """What a row should allow beyond what is consumed and held.
 
     :param pending: tokens that requests are waiting for.
-    :param spare: tokens for requests to come.
+    :param demand: tokens a second that requests asked for lately.
+    :param spare: whether to keep any tokens spare.
     """
 
     pending: int = 0
-    spare: int = 0
+    demand: float = 0
+    spare: bool = True
 
 
-class Allowance:
-    """Tokens of one budget that this router may consume.
+class Usage:
+    """Tokens of one budget that this router consumed, holds and passed on.
 
-    All figures are tokens and, but for ``held``, only grow; ``limit`` moves
-    both ways.
-
-    :param identity: who this router is.
+    All but ``held`` only grow.
     """
 
-    def __init__(self, identity: Identity) -> None:
+    def __init__(self) -> None:
         """Start with nothing."""
-        self._identity = identity
-        #: What the row in the store allows, at least.
-        self.limit = 0
         self.spent = 0
         self.held = 0
         self.lent = 0
         self.borrowed = 0
 
+    def count_charged(self) -> int:
+        """Count the tokens that this router's row has to cover.
+
+        :returns: tokens; negative when more was borrowed than used.
+        """
+        return self.spent + self.held + self.lent - self.borrowed
+
+
+class Allowance:
+    """What this router may consume of one budget.
+
+    :param identity: who this router is.
+    """
+
+    def __init__(self, identity: Identity) -> None:
+        """Start with nothing."""
+        self.usage = Usage()
+        self._identity = identity
+        #: Rows of this router that the store may hold, the confirmed first.
+        self._rows: list[LedgerRow] = []
+        #: Set when the budget was lowered: nothing beyond this is used
+        #: before the store has confirmed a newer row.
+        self._ceiling: int | None = None
+
     def count_room(self) -> int:
         """Count the tokens that may be held now.
 
         :returns: tokens.
         """
-        allowed = self.limit + self.borrowed - self.lent
-        return allowed - self.spent - self.held
+        allowed = [row.limit for row in self._rows]
+        if self._ceiling is not None:
+            allowed.append(self._ceiling)
+        return min(allowed, default=0) - self.usage.count_charged()
 
     def take_hold(self, tokens: int) -> bool:
         """Set tokens aside for a request.
@@ -88,7 +122,7 @@
         """
         if self.count_room() < tokens:
             return False
-        self.held += tokens
+        self.usage.held += tokens
         return True
 
     def settle(self, tokens: int, used: int) -> None:
@@ -97,8 +131,8 @@
         :param tokens: what was held for it.
         :param used: what it consumed of that.
         """
-        self.held -= tokens
-        self.spent += used
+        self.usage.held -= tokens
+        self.usage.spent += used
 
     def lend(self, tokens: int) -> int:
         """Give spare tokens to another router, for good.
@@ -107,12 +141,12 @@
         :returns: how many it gets.
         """
         given = max(0, min(tokens, self.count_room()))
-        self.lent += given
+        self.usage.lent += given
         return given
 
     def drop_spare(self) -> None:
         """Allow no more than what is consumed and held already."""
-        self.limit = min(self.limit, self._count_needed())
+        self._ceiling = self.usage.count_charged()
 
     def plan_write(
         self,
@@ -122,8 +156,8 @@
     ) -> BudgetLedger:
         """Plan the next state of the budget in the store.
 
-        Until the write is settled this router obeys the lower limit of both
-        states; ``take_written`` is called once the store has confirmed it.
+        Until ``take_written`` this router obeys both this row and those
+        before, since it cannot know which of them the store holds.
 
         :param ledger: the state that the write will replace; None for none.
         :param terms: what bounds the row.
@@ -131,10 +165,9 @@
         :returns: the state to write.
         """
         ledger = _adopt_terms(ledger, terms)
-        ledger = self._close_predecessors(ledger)
-        limit = self._choose_limit(ledger, terms, want)
-        self.limit = min(self.limit, limit)
-        row = LedgerRow(self._identity.instance, limit, self.spent)
+        ledger = close_rows(ledger, self._identity)
+        row = self._plan_row(ledger, terms, want)
+        self._rows.append(row)
         rows = {**ledger.rows, self._identity.incarnation: row}
         return ledger._replace(rows=rows)
 
@@ -143,67 +176,96 @@
 
         :param ledger: the state as it was written.
         """
-        self.limit = ledger.rows[self._identity.incarnation].limit
+        self._rows = [ledger.rows[self._identity.incarnation]]
+        self._ceiling = None
 
-    def _choose_limit(
+    def list_others(self, ledger: BudgetLedger) -> list[LedgerRow]:
+        """List the rows of other processes.
+
+        :param ledger: the budget.
+        :returns: their rows.
+        """
+        return [
+            row
+            for name, row in ledger.rows.items()
+            if name != self._identity.incarnation
+        ]
+
+    def _plan_row(
         self,
         ledger: BudgetLedger,
         terms: Terms,
         want: Want,
-    ) -> int:
+    ) -> LedgerRow:
         stored = ledger.rows.get(self._identity.incarnation)
+        charged = max(0, self.usage.count_charged())
         before = stored.limit if stored else 0
-        needed = self._count_needed()
-        free = max(0, ledger.count_free() + before - needed)
-        rest = max(0, free - want.pending)
-        share = measure_share(rest, terms.routers)
-        return needed + min(free, want.pending + min(want.spare, share))
-
-    def _count_needed(self) -> int:
-        used = self.spent + self.held
-        return max(0, used + self.lent - self.borrowed)
-
-    def _close_predecessors(self, ledger: BudgetLedger) -> BudgetLedger:
-        """Charge the rows of earlier processes on this instance in full.
-
-        They have ended, since this one runs; what they consumed beyond
-        what they wrote is not known.
-        """
-        ended = _find_rows(
-            ledger,
-            lambda name, row: name != self._identity.incarnation
-            and row.instance == self._identity.instance,
-        )
-        return ledger._replace(
-            rows={
-                name: row
-                for name, row in ledger.rows.items()
-                if name not in ended
-            },
-            closed_limit=ledger.closed_limit
-            + sum(row.limit for row in ended.values()),
-            closed_spent=ledger.closed_spent
-            + sum(row.spent for row in ended.values()),
+        free = max(0, ledger.count_free() + before - charged)
+        granted = min(free, want.pending)
+        row = LedgerRow(
+            instance=self._identity.instance,
+            limit=charged + granted,
+            spent=self.usage.spent,
+            charged=charged + granted,
+            demand=round(want.demand, 1),
         )
+        if not want.spare:
+            return row
+        others = self.list_others(ledger)
+        unused = ledger.prepaid - ledger.closed - row.charged
+        unused -= sum(other.charged for other in others)
+        spare = measure_spare(unused, row.demand, others, terms.routers)
+        return row._replace(limit=row.limit + min(free - granted, spare))
 
 
-def measure_share(free: int, routers: int) -> int:
-    """Measure how many free tokens one router may keep spare.
+def close_rows(ledger: BudgetLedger, identity: Identity) -> BudgetLedger:
+    """Charge the rows of earlier processes on an instance in full.
 
-    :param free: tokens that no router may consume yet.
+    They have ended, since another one runs there; what they consumed beyond
+    what they wrote is not known.
+
+    :param ledger: the budget.
+    :param identity: the process that runs now.
+    :returns: the budget without these rows.
+    """
+    ended = {
+        name: row
+        for name, row in ledger.rows.items()
+        if row.instance == identity.instance and name != identity.incarnation
+    }
+    return ledger._replace(
+        rows={
+            name: row for name, row in ledger.rows.items() if name not in ended
+        },
+        closed=ledger.closed + sum(row.limit for row in ended.values()),
+        closed_spent=ledger.closed_spent
+        + sum(row.spent for row in ended.values()),
+    )
+
+
+def measure_spare(
+    unused: int,
+    demand: float,
+    others: list[LedgerRow],
+    routers: int,
+) -> int:
+    """Measure how many tokens one router may keep spare.
+
+    Spare tokens go where requests come: those of a workspace often meet one
+    router only.
+
+    :param unused: tokens of the budget that are neither consumed nor held.
+    :param demand: this router's, in tokens a second.
+    :param others: rows of the other routers.
     :param routers: routers that share the budget.
     :returns: tokens.
     """
-    return int(free * SPARE_SHARE / max(1, routers))
-
-
-def _find_rows(
-    ledger: BudgetLedger,
-    is_wanted: Callable[[str, LedgerRow], bool],
-) -> dict[str, LedgerRow]:
-    return {
-        name: row for name, row in ledger.rows.items() if is_wanted(name, row)
-    }
+    demands = [demand, *(row.demand for row in others)]
+    floor = MIN_DEMAND + DEMAND_FLOOR * sum(demands) / max(1, routers)
+    total = sum(demands) + floor * max(routers, len(demands))
+    share = (demand + floor) / total
+    wanted = SPARE_FLOOR + SPARE_TIME * demand
+    return max(0, int(min(wanted, SPARE_SHARE * unused * share)))
 
 
 def _adopt_terms(ledger: BudgetLedger | None, terms: Terms) -> BudgetLedger:
--- a/src/dykemast/_internal/platform/configuration.py
+++ b/src/dykemast/_internal/platform/configuration.py
@@ -39,7 +39,9 @@
         version=int(spec['version']),
         revision=stored.revision,
         routes=_index_routes([_decode_route(one) for one in spec['routes']]),
-        services={one['name']: _decode_service(one) for one in spec['services']},
+        services={
+            one['name']: _decode_service(one) for one in spec['services']
+        },
         workspaces=workspaces,
         keys=keys,
         limits=_decode_limits(spec['limits']),
@@ -56,7 +58,9 @@
         )
         for one in listed
     }
-    keys = {hash_key(key): one['name'] for one in listed for key in one['apiKeys']}
+    keys = {
+        hash_key(key): one['name'] for one in listed for key in one['apiKeys']
+    }
     return workspaces, keys
 
 
--- a/src/dykemast/_internal/platform/headers.py
+++ b/src/dykemast/_internal/platform/headers.py
@@ -20,35 +20,39 @@
 _SCHEME: Final = 'token '
 _MS: Final = 1000.0
 #: Fields that concern one connection only, or that this router sets.
-_NOT_PASSED_ON: Final = frozenset((
-    'connection',
-    'content-length',
-    'expect',
-    'host',
-    'keep-alive',
-    'proxy-authorization',
-    'proxy-connection',
-    'te',
-    'trailer',
-    'transfer-encoding',
-    'upgrade',
-    _AUTHORIZATION,
-    _DEADLINE,
-    _EXPECTED,
-    _PRIORITY,
-    _TENANT,
-))
+_NOT_PASSED_ON: Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        _AUTHORIZATION,
+        _DEADLINE,
+        _EXPECTED,
+        _PRIORITY,
+        _TENANT,
+    )
+)
 #: Fields of an answer that concern one connection only.
-_ANSWER_HOP: Final = frozenset((
-    'connection',
-    'content-length',
-    'keep-alive',
-    'proxy-connection',
-    'te',
-    'trailer',
-    'transfer-encoding',
-    'upgrade',
-))
+_ANSWER_HOP: Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
 #: Answer of a server that is not the one that was meant.
 _MISDIRECTED: Final = 421
 
@@ -116,7 +120,9 @@
     fields = dict(pairs)
     prompt_tokens, output_tokens = _decode_tokens(fields.get(_TOKENS, ''))
     # Names listed in "Connection" concern this connection only.
-    hop = {name.strip() for name in fields.get('connection', '').lower().split(',')}
+    hop = {
+        name.strip() for name in fields.get('connection', '').lower().split(',')
+    }
     target = scope['raw_path'].decode('latin-1')
     if scope['query_string']:
         target += f'?{scope["query_string"].decode("latin-1")}'
@@ -209,7 +215,9 @@
 
 
 def _decode_key(text: str) -> str:
-    return text[len(_SCHEME) :].strip() if text.lower().startswith(_SCHEME) else ''
+    return (
+        text[len(_SCHEME) :].strip() if text.lower().startswith(_SCHEME) else ''
+    )
 
 
 def _decode_patience(text: str | None) -> float | None:
--- a/src/dykemast/_internal/platform/objects.py
+++ b/src/dykemast/_internal/platform/objects.py
@@ -215,4 +215,6 @@
     try:
         return msgspec.json.decode(body)
     except msgspec.MsgspecError as error:
-        raise PlatformError(f'the store sent something else: {error}') from error
+        raise PlatformError(
+            f'the store sent something else: {error}'
+        ) from error
--- a/src/dykemast/_internal/serving/accounts.py
+++ b/src/dykemast/_internal/serving/accounts.py
@@ -7,25 +7,19 @@
 
 import msgspec
 
-from dykemast._internal.models.news import BudgetLedger
+from dykemast._internal.models.budget_ledger import BudgetLedger
 from dykemast._internal.operations.allowance import (
     Allowance,
+    Identity,
     Terms,
     Want,
-    measure_share,
+    measure_spare,
 )
+from dykemast._internal.operations.demand import Demand
 from dykemast._internal.platform.objects import StoreObject
 
 #: Kind of the objects that hold the budgets.
 BUDGET_KIND: Final = 'dykemast-budgets'
-#: Seconds over which demand is averaged: some requests of a workspace at
-#: one router, which come about once a second and differ in size.
-DEMAND_WINDOW: Final = 8.0
-#: Seconds of demand to keep spare. Cuts last about 8 s, and a request holds
-#: about twice what it consumes.
-SPARE_TIME: Final = 20.0
-#: Tokens to keep spare at least, where there are enough: a request or two.
-MIN_SPARE: Final = 16_000
 
 
 class Hold(NamedTuple):
@@ -39,62 +33,38 @@
     tokens: int
 
 
+class Shortage(NamedTuple):
+    """A hold that was refused.
+
+    :param tokens: how many were wanted.
+    :param until: seconds on the steady clock until which this is believed.
+    """
+
+    tokens: int = 0
+    until: float = -math.inf
+
+
 class Account:
     """One workspace's budget, as this router knows it.
 
     :param workspace: its name.
-    :param allowance: what this router may consume.
+    :param identity: who this router is.
     """
 
-    def __init__(self, workspace: str, allowance: Allowance) -> None:
+    def __init__(self, workspace: str, identity: Identity) -> None:
         """Know nothing of the store yet."""
         self.workspace = workspace
-        self.allowance = allowance
+        self.allowance = Allowance(identity)
+        self.demand = Demand()
         #: Tokens that requests are waiting for.
         self.pending = 0
         #: Looks for tokens now, unless it is done.
         self.search: asyncio.Task[Any] | None = None
-        #: Whether the store failed when it was last asked.
-        self.is_away = False
-        #: Whether nothing is to be kept spare any more.
-        self.is_closing = False
+        self.shortage = Shortage()
         #: The object as last seen; None when it has to be read first.
         self.stored: StoreObject | None = None
         self.ledger: BudgetLedger | None = None
-        self.revision = 0
         self.written_at = -math.inf
-        self.short_until = -math.inf
-        #: A hold of this size was refused.
-        self._short_of = 0
-        self._routers = 1
-        self._demand = 0.0
-        self._demand_at = time.monotonic()
-
-    def note_demand(self, tokens: int) -> None:
-        """Count the demand of a request.
-
-        :param tokens: what it may consume at the most.
-        """
-        self._demand = self.measure_demand() * DEMAND_WINDOW + tokens
-        self._demand_at = time.monotonic()
-
-    def measure_demand(self) -> float:
-        """Measure the demand of the last seconds.
-
-        :returns: tokens a second.
-        """
-        passed = time.monotonic() - self._demand_at
-        return self._demand * math.exp(-passed / DEMAND_WINDOW) / DEMAND_WINDOW
-
-    def measure_target(self) -> int:
-        """Measure how many tokens should be kept spare.
-
-        :returns: tokens, no more than this router's share.
-        """
-        free = max(0, self.ledger.count_free()) if self.ledger else 0
-        room = self.allowance.count_room()
-        share = measure_share(free + room, self._routers)
-        return min(self._measure_spare(), share)
 
     def is_short_of(self, tokens: int) -> bool:
         """Tell whether there were too few tokens a moment ago.
@@ -102,67 +72,57 @@
         :param tokens: how many are wanted.
         :returns: whether no more than now were refused.
         """
-        return tokens >= self._short_of and time.monotonic() < self.short_until
-
-    def note_short(self, tokens: int, until: float) -> None:
-        """Remember that there are too few tokens.
-
-        :param tokens: how many were refused.
-        :param until: seconds on the steady clock.
-        """
-        self._short_of = tokens
-        self.short_until = until
+        shortage = self.shortage
+        return tokens >= shortage.tokens and time.monotonic() < shortage.until
 
-    def take_written(self, written: StoreObject) -> None:
-        """Use what the store has confirmed.
-
-        :param written: the object.
-        """
-        self.see(written)
-        if self.ledger:
-            self.allowance.take_written(self.ledger)
-
-    def see(self, stored: StoreObject) -> None:
+    def see(self, stored: StoreObject | None) -> None:
         """Take note of the object as it is in the store.
 
-        :param stored: the object; revision 0 when there is none.
+        :param stored: the object, with revision 0 when there is none; None
+            when it has to be read before it is written again.
         """
         self.stored = stored
-        self.revision = stored.revision
-        self.ledger = _decode_ledger(stored.spec) if stored.revision else None
+        if stored:
+            self.ledger = _decode_ledger(stored)
 
-    def take_conflict(self, current: StoreObject | None) -> None:
-        """Take note of the object that another router wrote first.
-
-        :param current: the object; None when it has to be read.
-        """
-        if current is None:
-            self.forget()
-        else:
-            self.see(current)
-
-    def forget(self) -> None:
-        """Have the object read before it is written again."""
-        self.stored = None
-
-    def plan(self, terms: Terms) -> StoreObject:
+    def plan(self, terms: Terms, *, spare: bool) -> StoreObject:
         """Plan the next write.
 
         :param terms: what bounds the row.
+        :param spare: whether to keep any tokens spare.
         :returns: the object to write.
         """
-        self._routers = terms.routers
-        want = Want(self.pending, self._measure_spare())
+        demand = self.demand.measure(time.monotonic())
+        want = Want(self.pending, demand, spare)
         planned = self.allowance.plan_write(self.ledger, terms, want)
         revision = self.stored.revision if self.stored else 0
         spec = msgspec.to_builtins(planned)
         return StoreObject(self.workspace, revision, spec)
 
-    def _measure_spare(self) -> int:
-        if self.is_closing:
+    def measure_target(self, routers: int) -> int:
+        """Measure how many tokens this router should keep spare.
+
+        :param routers: routers that share the budget.
+        :returns: tokens.
+        """
+        if self.ledger is None:
             return 0
-        return max(MIN_SPARE, int(self.measure_demand() * SPARE_TIME))
+        others = self.allowance.list_others(self.ledger)
+        demand = self.demand.measure(time.monotonic())
+        unused = self.ledger.count_unused()
+        return measure_spare(unused, demand, others, routers)
+
+    def take_written(self, written: StoreObject) -> None:
+        """Use what the store has confirmed.
+
+        :param written: the object.
+        """
+        self.see(written)
+        if self.ledger:
+            self.allowance.take_written(self.ledger)
 
 
-def _decode_ledger(spec: Any) -> BudgetLedger:
-    return msgspec.convert(spec, BudgetLedger)
+def _decode_ledger(stored: StoreObject) -> BudgetLedger | None:
+    if not stored.revision:
+        return None
+    return msgspec.convert(stored.spec, BudgetLedger)
--- a/src/dykemast/_internal/serving/admission.py
+++ b/src/dykemast/_internal/serving/admission.py
@@ -40,7 +40,9 @@
         raise RefusedError(RefusalCode.no_route, details)
     started = time.monotonic()
     patience = request.patience
-    allowed = route.timeout if patience is None else min(patience, route.timeout)
+    allowed = (
+        route.timeout if patience is None else min(patience, route.timeout)
+    )
     return Ticket(
         request=request,
         route=route,
--- a/src/dykemast/_internal/serving/attempts.py
+++ b/src/dykemast/_internal/serving/attempts.py
@@ -96,10 +96,12 @@
         now = time.monotonic()
         self._parts.trust.note_outcome(server.name, now, failed=failed)
         outcome = 'failed' if failed else 'done'
-        self._parts.meters.sends.inc({
-            'service': self._ticket.service.name,
-            'outcome': outcome,
-        })
+        self._parts.meters.sends.inc(
+            {
+                'service': self._ticket.service.name,
+                'outcome': outcome,
+            }
+        )
 
     def _check_retry(self, error: UpstreamError) -> None:
         """Find out whether another server may get the request.
--- a/src/dykemast/_internal/serving/board.py
+++ b/src/dykemast/_internal/serving/board.py
@@ -2,12 +2,19 @@
 
 import asyncio
 import dataclasses
+import time
+from collections.abc import Iterator
+from typing import Final
 
 from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.models.deployment import InstanceSettings
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.models.routing_table import RoutingTable
 
+#: Seconds since the last news after which a peer counts as silent: several
+#: rounds of news.
+SILENCE: Final = 1.5
+
 
 @dataclasses.dataclass
 class Peer:
@@ -77,3 +84,21 @@
             inflight=self.inflight,
             leaving=self.stopping,
         )
+
+
+def is_silent(peer: Peer) -> bool:
+    """Tell whether nothing was heard of a peer for a while.
+
+    :param peer: the peer.
+    :returns: whether it is silent.
+    """
+    return time.monotonic() - peer.heard_at > SILENCE
+
+
+def list_heard(board: ServingBoard) -> Iterator[Peer]:
+    """List the peers that were heard of lately.
+
+    :param board: the blackboard.
+    :returns: the peers.
+    """
+    return (peer for peer in board.peers.values() if not is_silent(peer))
--- a/src/dykemast/_internal/serving/entry.py
+++ b/src/dykemast/_internal/serving/entry.py
@@ -8,8 +8,7 @@
 
 from dykemast._internal.models.deployment import Endpoint
 from dykemast._internal.platform.headers import decode_entry_name, encode_entry
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.gossip import list_heard
+from dykemast._internal.serving.board import ServingBoard, list_heard
 from dykemast._internal.serving.meters import render_meters
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.responder import Receive, Responder, Send
@@ -85,15 +84,24 @@
     return (own + found)[:MAX_ADDRESSES]
 
 
-async def _answer_metrics(parts: Parts, responder: Responder) -> None:
+def describe_state(parts: Parts) -> dict[str, float]:
+    """Describe the state of this router in figures.
+
+    :param parts: parts of the program.
+    :returns: figures by name.
+    """
     board = parts.board
+    now = time.monotonic()
     away = board.store_away_since
-    state = {
+    return {
         'inflight': board.inflight,
         'configuration': board.table.version if board.table else 0,
         'servers': len(board.servers),
         'peers_heard': len(list(list_heard(board))),
-        'store_away_s': time.monotonic() - away if away else 0,
+        'store_away_s': round(now - away, 1) if away else 0,
     }
-    body = render_meters(parts.meters, state)
+
+
+async def _answer_metrics(parts: Parts, responder: Responder) -> None:
+    body = render_meters(parts.meters, describe_state(parts))
     await responder.answer(_OK, _TEXT, body)
--- a/src/dykemast/_internal/serving/event_streams.py
+++ b/src/dykemast/_internal/serving/event_streams.py
@@ -74,7 +74,9 @@
         reading = _Reading(self._parts, server.name, missing)
         answer: Answer | None = None
         try:
-            answer = await self._parts.upstreams.send(self._make_sending(server))
+            answer = await self._parts.upstreams.send(
+                self._make_sending(server)
+            )
             self._note_prompt(server)
             await self._pass_on(answer, reading)
         except BaseException as error:
--- a/src/dykemast/_internal/serving/freshness.py
+++ b/src/dykemast/_internal/serving/freshness.py
@@ -6,14 +6,13 @@
 """
 
 import asyncio
-import random
 import time
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
 from dykemast._internal.exceptions import PlatformError
 from dykemast._internal.platform.objects import ObjectStore
-from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.board import ServingBoard, list_heard
 from dykemast._internal.serving.followers import Follower, take_listing
 from dykemast._internal.utils.events import make_logger
 
@@ -23,9 +22,10 @@
 _PAUSE: Final = 0.1
 #: Seconds before another try after a failure.
 RETRY_PAUSE: Final = 0.5
-#: Age, as a part of the bound, from which a router may read; which one does
-#: is left to chance, so that they seldom do it at once.
-MIN_AGE: Final = 0.6
+#: Age, as a part of the bound, at which the first router reads, and by which
+#: each of the next waits longer: news of it take about 0.3 s.
+FIRST_AGE: Final = 0.5
+NEXT_AGE: Final = 0.25
 
 
 class Checked(NamedTuple):
@@ -52,10 +52,10 @@
     """
     kind = checked.follower.kind
     while True:
-        limit = checked.bound * random.uniform(MIN_AGE, 1)
-        while time.monotonic() - board.checked_at.get(kind, 0) < limit:
-            await asyncio.sleep(_PAUSE)
-        await _read(board, store, checked.follower)
+        age = time.monotonic() - board.checked_at.get(kind, 0)
+        if age > checked.bound * _choose_age(board):
+            await _read(board, store, checked.follower)
+        await asyncio.sleep(_PAUSE)
 
 
 def tell_ages(board: ServingBoard) -> dict[str, float]:
@@ -80,6 +80,18 @@
         board.checked_at[kind] = max(known, now - age)
 
 
+def _choose_age(board: ServingBoard) -> float:
+    """Choose when it is this router's turn to read.
+
+    :param board: the blackboard.
+    :returns: part of the bound.
+    """
+    before = sum(
+        peer.card.instance < board.settings.name for peer in list_heard(board)
+    )
+    return min(1, FIRST_AGE + NEXT_AGE * before)
+
+
 async def _read(
     board: ServingBoard,
     store: ObjectStore,
--- a/src/dykemast/_internal/serving/gossip.py
+++ b/src/dykemast/_internal/serving/gossip.py
@@ -3,14 +3,15 @@
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
 import msgspec
 
 from dykemast._internal.exceptions import PeerError
 from dykemast._internal.models.fleet import PeerCard
-from dykemast._internal.models.news import BudgetLedger, News
+from dykemast._internal.models.budget_ledger import BudgetLedger
+from dykemast._internal.models.news import News
 from dykemast._internal.network.peer_client import PeerClient
 from dykemast._internal.network.peer_codec import load_idl
 from dykemast._internal.network.peer_server import listen
@@ -20,7 +21,12 @@
     freshness,
     members,
 )
-from dykemast._internal.serving.board import Peer, ServingBoard
+from dykemast._internal.serving.board import (
+    SILENCE,
+    Peer,
+    ServingBoard,
+    is_silent,
+)
 from dykemast._internal.serving.loads import Loads
 from dykemast._internal.utils.events import make_logger
 
@@ -34,8 +40,6 @@
 PEERS_A_ROUND: Final = 8
 #: Seconds to wait for a peer: links take 1 ms, a busy process some ten.
 CALL_TIMEOUT: Final = 0.4
-#: Seconds since the last news after which a peer counts as silent.
-SILENCE: Final = 1.5
 #: Peers asked for spare tokens on behalf of one request at most.
 MAX_LENDERS: Final = 6
 
@@ -63,7 +67,8 @@
         """
         host, port = self._board.settings.listeners.peer
         return await listen(
-            _fleet_idl.Fleet, _Calls(self._exchange, self._give, self._tell),
+            _fleet_idl.Fleet,
+            _Calls(self._exchange, self._give, self._tell),
             host,
             port,
         )
@@ -94,9 +99,7 @@
         :returns: their cards.
         """
         rows = ledger.rows if ledger else {}
-        spare = {
-            row.instance: row.limit - row.spent for row in rows.values()
-        }
+        spare = {row.instance: row.limit - row.spent for row in rows.values()}
         peers = [
             peer.card
             for peer in self._board.peers.values()
@@ -213,21 +216,3 @@
         self.exchange = exchange
         self.lend = lend
         self.newer_configuration = newer_configuration
-
-
-def is_silent(peer: Peer) -> bool:
-    """Tell whether nothing was heard of a peer for a while.
-
-    :param peer: the peer.
-    :returns: whether it is silent.
-    """
-    return time.monotonic() - peer.heard_at > SILENCE
-
-
-def list_heard(board: ServingBoard) -> Iterator[Peer]:
-    """List the peers that were heard of lately.
-
-    :param board: the blackboard.
-    :returns: the peers.
-    """
-    return (peer for peer in board.peers.values() if not is_silent(peer))
--- a/src/dykemast/_internal/serving/ledger_writer.py
+++ b/src/dykemast/_internal/serving/ledger_writer.py
@@ -1,11 +1,11 @@
 """Write this router's row of a budget to the store."""
 
 import time
-from typing import Final
+from typing import Any, Final
 
 from dykemast._internal.exceptions import PlatformError, VersionConflictError
 from dykemast._internal.operations.allowance import Terms
-from dykemast._internal.platform.objects import ObjectStore, StoreObject
+from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.serving.accounts import BUDGET_KIND, Account
 from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.utils.events import make_logger
@@ -30,14 +30,16 @@
         """Expect the store to answer."""
         self._board = board
         self._store = store
-        self._away_until = 0.0
+        self._failed_at = -AWAY_PAUSE
+        #: Whether the last call failed.
+        self.is_away = False
 
-    def is_away(self) -> bool:
-        """Tell whether the store failed a moment ago.
+    def may_try(self) -> bool:
+        """Tell whether a call makes sense now.
 
-        :returns: whether it did.
+        :returns: False for a while after one has failed.
         """
-        return time.monotonic() < self._away_until
+        return time.monotonic() > self._failed_at + AWAY_PAUSE
 
     def read_terms(self, workspace: str) -> Terms:
         """Read what bounds a row now.
@@ -53,54 +55,62 @@
             routers=1 + len(self._board.peers),
         )
 
-    async def write(self, account: Account) -> bool:
-        """Write the row of one budget.
+    async def write(self, account: Account, *, spare: bool = True) -> None:
+        """Write the row of one budget; a failure is logged.
 
         :param account: the budget.
-        :returns: whether the store confirmed it.
+        :param spare: whether to keep any tokens spare.
         """
         account.written_at = time.monotonic()
         try:
-            await self._write(account)
+            await self._write(account, spare=spare)
         except PlatformError as error:
-            account.forget()
-            self._away_until = time.monotonic() + AWAY_PAUSE
+            account.see(None)
+            self.is_away = True
+            self._failed_at = time.monotonic()
             _log(
                 'budget_not_written',
                 workspace=account.workspace,
                 reason=str(error),
             )
-            return False
-        return True
+        else:
+            self.is_away = False
+            _log('budget_written', **describe(account))
 
-    async def _write(self, account: Account) -> None:
+    async def _write(self, account: Account, *, spare: bool) -> None:
         for _ in range(MAX_CONFLICTS):
             if account.stored is None:
                 account.see(
                     await self._store.read(BUDGET_KIND, account.workspace)
                 )
-            planned = account.plan(self.read_terms(account.workspace))
+            terms = self.read_terms(account.workspace)
+            planned = account.plan(terms, spare=spare)
             try:
                 written = await self._store.write(BUDGET_KIND, planned)
             except VersionConflictError as conflict:
-                account.take_conflict(conflict.current)
+                account.see(conflict.current)
             else:
                 account.take_written(written)
-                _log_written(account, written)
                 return
         raise PlatformError('other routers write the budget all the time.')
 
 
-def _log_written(account: Account, written: StoreObject) -> None:
+def describe(account: Account) -> dict[str, Any]:
+    """Describe a budget for the log.
+
+    :param account: the budget.
+    :returns: what is known of it, and of which revision.
+    """
     ledger = account.ledger
-    _log(
-        'budget_written',
-        workspace=account.workspace,
-        revision=written.revision,
-        limit=account.allowance.limit,
-        spent=account.allowance.spent,
-        held=account.allowance.held,
-        free=ledger.count_free() if ledger else None,
-        prepaid=ledger.prepaid if ledger else None,
-        version=ledger.version if ledger else None,
-    )
+    usage = account.allowance.usage
+    return {
+        'workspace': account.workspace,
+        'revision': account.stored.revision if account.stored else None,
+        'version': ledger.version if ledger else None,
+        'prepaid': ledger.prepaid if ledger else None,
+        'free': ledger.count_free() if ledger else None,
+        'closed': ledger.closed if ledger else None,
+        'room': account.allowance.count_room(),
+        'spent': usage.spent,
+        'held': usage.held,
+    }
--- a/src/dykemast/_internal/serving/loans.py
+++ b/src/dykemast/_internal/serving/loans.py
@@ -26,7 +26,7 @@
 
     async def ask(card: PeerCard) -> None:
         given = await gossip.borrow(card, account.workspace, missing)
-        account.allowance.borrowed += given
+        account.allowance.usage.borrowed += given
         _log(
             'tokens_borrowed',
             workspace=account.workspace,
--- a/src/dykemast/_internal/serving/meters.py
+++ b/src/dykemast/_internal/serving/meters.py
@@ -45,7 +45,10 @@
 
     def time(name: str, text: str) -> Histogram:
         return Histogram(
-            f'dykemast_{name}_seconds', text, registry=registry, buckets=_BUCKETS
+            f'dykemast_{name}_seconds',
+            text,
+            registry=registry,
+            buckets=_BUCKETS,
         )
 
     return Meters(
--- a/src/dykemast/_internal/serving/plain_calls.py
+++ b/src/dykemast/_internal/serving/plain_calls.py
@@ -45,7 +45,9 @@
         may_repeat = len(attempts.tried) < ticket.route.max_workers
         if failed and may_repeat and is_repeatable(ticket):
             raise _Whole(answer, whole)
-        await responder.answer(answer.head.status, [*answer.head.headers], whole)
+        await responder.answer(
+            answer.head.status, [*answer.head.headers], whole
+        )
 
     await attempts.run(deliver)
 
--- a/src/dykemast/_internal/serving/refusals.py
+++ b/src/dykemast/_internal/serving/refusals.py
@@ -30,7 +30,9 @@
     no_configuration = _Reason(503, 'No configuration is known yet.')
     no_server = _Reason(503, 'No backend server can take it now.')
     stopping = _Reason(503, 'This router is about to end.')
-    upstream_failed = _Reason(502, 'The backend server failed; it may have run.')
+    upstream_failed = _Reason(
+        502, 'The backend server failed; it may have run.'
+    )
     too_late = _Reason(504, 'Its time is over; it may have run.')
 
 
--- a/src/dykemast/_internal/serving/responder.py
+++ b/src/dykemast/_internal/serving/responder.py
@@ -54,11 +54,13 @@
         self.begun = True
         if self._is_closing():
             headers = [*headers, _CLOSE]
-        await self._send({
-            'type': 'http.response.start',
-            'status': status,
-            'headers': headers,
-        })
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
 
     async def write(self, body: bytes, *, more: bool) -> None:
         """Send a part of the body.
@@ -66,11 +68,13 @@
         :param body: the part.
         :param more: whether there is more to come.
         """
-        await self._send({
-            'type': 'http.response.body',
-            'body': body,
-            'more_body': more,
-        })
+        await self._send(
+            {
+                'type': 'http.response.body',
+                'body': body,
+                'more_body': more,
+            }
+        )
 
 
 async def read_body(receive: Receive, limit: int) -> bytes:
--- a/src/dykemast/_internal/serving/runtime.py
+++ b/src/dykemast/_internal/serving/runtime.py
@@ -16,7 +16,11 @@
 from dykemast._internal.serving.application import make_application
 from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.serving.budgets import Budgets
-from dykemast._internal.serving.entry import ENTRY_TTL, make_side_application
+from dykemast._internal.serving.entry import (
+    ENTRY_TTL,
+    describe_state,
+    make_side_application,
+)
 from dykemast._internal.serving.followers import follow_kind
 from dykemast._internal.serving.freshness import Checked, keep_fresh
 from dykemast._internal.serving.gossip import Gossip
@@ -29,7 +33,7 @@
 _log = make_logger('router')
 
 #: Seconds that the configuration may be old; users allow 2 s.
-CONFIGURATION_AGE: Final = 1.2
+CONFIGURATION_AGE: Final = 1.4
 #: Seconds that the list of backend servers may be old; users allow 2 s.
 SERVERS_AGE: Final = 1.6
 #: Connections that wait to be accepted.
@@ -38,6 +42,8 @@
 KEPT_FACTOR: Final = 2
 #: Seconds before the kill at which a stop has to be done.
 STOP_MARGIN: Final = 0.7
+#: Seconds between two lines on the state of the router.
+STATE_PAUSE: Final = 10.0
 #: Seconds between two tries to list this router in the store.
 LIST_PAUSE: Final = 0.5
 _POLL: Final = 0.05
@@ -68,9 +74,7 @@
         board.stopping = True
         _log('stopping', inflight=board.inflight)
         await self.gossip.tell_all()
-        unlisting = asyncio.create_task(
-            members.unlist_self(board, self.store)
-        )
+        unlisting = asyncio.create_task(members.unlist_self(board, self.store))
         limit = started + board.settings.bounds.stop_timeout - STOP_MARGIN
         await _wait_until_unused(board, started, limit)
         await asyncio.wait_for(self._give_back(unlisting), 1)
@@ -133,10 +137,17 @@
         _list_self(board, store),
         gossip.spread(),
         parts.budgets.follow_table(),
+        _log_state(parts, store),
         parts.budgets.review(),
     ]
 
 
+async def _log_state(parts: Parts, store: ObjectStore) -> None:
+    while True:
+        await asyncio.sleep(STATE_PAUSE)
+        _log('state', **describe_state(parts), store_calls=store.calls)
+
+
 async def _list_self(board: ServingBoard, store: ObjectStore) -> None:
     while True:
         try:
--- a/src/dykemast/_internal/serving/upstream.py
+++ b/src/dykemast/_internal/serving/upstream.py
@@ -126,9 +126,7 @@
             response = await self._request(sending)
         except _NO_CONNECTION as error:
             text = f'no connection: {type(error).__name__}'
-            raise UpstreamError(
-                text, sent=False, unconnected=True
-            ) from error
+            raise UpstreamError(text, sent=False, unconnected=True) from error
         except _FAILURES as error:
             text = f'no answer: {type(error).__name__}'
             raise UpstreamError(text, sent=True) from error
@@ -183,12 +181,15 @@
             keepalive_timeout=KEEP_ALIVE,
             socket_factory=make_socket,
         ),
-        timeout=aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT
-        ),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type'),
+        skip_auto_headers=(
+            'User-Agent',
+            'Accept',
+            'Accept-Encoding',
+            'Content-Type',
+        ),
     )
     # The library would repeat a GET by itself on a connection that broke;
     # whether a request may run twice is for this router to say.
