--- /dev/null
+++ b/src/dykemast/_internal/models/forwarding.py
@@ -0,0 +1,39 @@
+"""What passes between this router and backend servers."""
+
+from typing import NamedTuple
+
+
+class Forwarding(NamedTuple):
+    """What a send to a backend server adds to the caller's fields.
+
+    :param server: id of the server that is meant.
+    :param workspace: who spends; empty on a public route.
+    :param seconds: time left.
+    :param priority: 0 to 9, 0 first; None to leave it out.
+    :param after_event: where a resumed stream goes on; empty for none.
+    """
+
+    server: str
+    workspace: str
+    seconds: float
+    priority: int | None = None
+    after_event: str = ''
+
+
+class AnswerHead(NamedTuple):
+    """Head of a backend server's answer.
+
+    :param status: HTTP status.
+    :param request_id: the request that it says it answers.
+    :param signed: whether the server signed it.
+    :param not_run: whether the server says that it did not run the request.
+    :param headers: fields to be passed on.
+    :param delimited: whether a length or chunks show where the body ends.
+    """
+
+    status: int
+    request_id: str
+    signed: bool
+    not_run: bool
+    headers: list[tuple[bytes, bytes]]
+    delimited: bool
--- a/src/dykemast/_internal/models/routing_table.py
+++ b/src/dykemast/_internal/models/routing_table.py
@@ -5,7 +5,14 @@
 
 import enum
 import hashlib
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+from dykemast._internal.models.services import Limits, Service
+
+#: Bytes of the hash of a key.
+_HASH_BYTES: Final = 16
+#: Prefixes of routes begin and end with it.
+_SLASH: Final = '/'
 
 
 class RouteKind(enum.Enum):
@@ -19,6 +26,13 @@
     stream = 'stream'
 
 
+class RouteKey(NamedTuple):
+    """What picks a route."""
+
+    host: str
+    prefix: str
+
+
 class Share(NamedTuple):
     """Part of a route's requests that goes to one service."""
 
@@ -55,47 +69,6 @@
     resumable: bool
 
 
-class Engine(NamedTuple):
-    """Model engines of a service.
-
-    :param slots: requests that one runs at once.
-    :param memory: tokens that its key-value cache holds.
-    :param tokens_per_event: tokens in one event of a stream.
-    """
-
-    slots: int
-    memory: int
-    tokens_per_event: int
-
-
-class Service(NamedTuple):
-    """One service.
-
-    :param name: its name.
-    :param max_connections: connections that one server takes from all.
-    :param engine: set where model engines run it.
-    """
-
-    name: str
-    max_connections: int
-    engine: Engine | None
-
-
-class Limits(NamedTuple):
-    """What callers may send.
-
-    :param header_bytes: of all header fields.
-    :param body_bytes: of a body.
-    :param header_timeout: seconds for the header fields to arrive.
-    :param idle_timeout: seconds that a connection may rest.
-    """
-
-    header_bytes: int
-    body_bytes: int
-    header_timeout: float
-    idle_timeout: float
-
-
 class Workspace(NamedTuple):
     """One workspace.
 
@@ -114,7 +87,7 @@
 
     :param version: rises with each change.
     :param revision: of the object in the store.
-    :param routes: by host name, the longest prefix first.
+    :param routes: by host name and prefix.
     :param services: by name.
     :param workspaces: by name.
     :param keys: name of the workspace by the hash of a key.
@@ -123,7 +96,7 @@
 
     version: int
     revision: int
-    routes: dict[str, tuple[Route, ...]]
+    routes: dict[RouteKey, Route]
     services: dict[str, Service]
     workspaces: dict[str, Workspace]
     keys: dict[bytes, str]
@@ -136,9 +109,12 @@
         :param path: path of the request.
         :returns: the route with the longest prefix, or nothing.
         """
-        for route in self.routes.get(host, ()):
-            if path.startswith(route.prefix):
+        end = path.rfind(_SLASH) + 1
+        while end:
+            route = self.routes.get(RouteKey(host, path[:end]))
+            if route:
                 return route
+            end = path.rfind(_SLASH, 0, end - 1) + 1
         return None
 
     def find_workspace(self, key: str) -> Workspace | None:
@@ -157,4 +133,4 @@
     :param key: as it was issued.
     :returns: its hash.
     """
-    return hashlib.blake2b(key.encode(), digest_size=16).digest()
+    return hashlib.blake2b(key.encode(), digest_size=_HASH_BYTES).digest()
--- /dev/null
+++ b/src/dykemast/_internal/models/services.py
@@ -0,0 +1,44 @@
+"""Services of a deployment and what bounds requests to them."""
+
+from typing import NamedTuple
+
+
+class Engine(NamedTuple):
+    """Model engines of a service.
+
+    :param slots: requests that one runs at once.
+    :param memory: tokens that its key-value cache holds.
+    :param tokens_per_event: tokens in one event of a stream.
+    """
+
+    slots: int
+    memory: int
+    tokens_per_event: int
+
+
+class Service(NamedTuple):
+    """One service.
+
+    :param name: its name.
+    :param max_connections: connections that one server takes from all.
+    :param engine: set where model engines run it.
+    """
+
+    name: str
+    max_connections: int
+    engine: Engine | None
+
+
+class Limits(NamedTuple):
+    """What callers may send.
+
+    :param header_bytes: of all header fields.
+    :param body_bytes: of a body.
+    :param header_timeout: seconds for the header fields to arrive.
+    :param idle_timeout: seconds that a connection may rest.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout: float
+    idle_timeout: float
--- a/src/dykemast/_internal/network/peer_server.py
+++ b/src/dykemast/_internal/network/peer_server.py
@@ -67,18 +67,18 @@
     return await listen(peer_thrift.Peer, _Guard(key, calls), host, port)
 
 
-async def listen(service: Any, handler: Any, host: str, port: int) -> Any:
+async def listen(service: Any, calls: Any, host: str, port: int) -> Any:
     """Serve calls of an interface definition.
 
     :param service: the interface.
-    :param handler: has a coroutine method for each call.
+    :param calls: has a coroutine method for each call.
     :param host: IP number to listen on.
     :param port: port to listen on.
     :returns: the listening server, to be closed by its ``close``.
     """
     server = make_server(
         service,
-        handler,
+        calls,
         host,
         port,
         # Pooled connections of peers may be idle for long.
--- a/src/dykemast/_internal/network/sockets.py
+++ b/src/dykemast/_internal/network/sockets.py
@@ -12,22 +12,24 @@
 PROBE_COUNT: Final = 2
 
 
+_OPTIONS: Final = (
+    (socket.TCP_KEEPIDLE, PROBE_IDLE),
+    (socket.TCP_KEEPINTVL, PROBE_PAUSE),
+    (socket.TCP_KEEPCNT, PROBE_COUNT),
+    (socket.TCP_USER_TIMEOUT, USER_TIMEOUT),
+    (socket.TCP_NODELAY, 1),
+)
+
+
 def make_socket(address: Any) -> socket.socket:
     """Make a socket to connect with.
 
     :param address: as ``getaddrinfo`` gives it.
     :returns: the socket, not yet connected.
     """
-    family, kind, protocol, _, _ = address
-    made = socket.socket(family, kind, protocol)
+    made = socket.socket(*address[:3])
     made.setblocking(False)
     made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, setting in (
-        (socket.TCP_KEEPIDLE, PROBE_IDLE),
-        (socket.TCP_KEEPINTVL, PROBE_PAUSE),
-        (socket.TCP_KEEPCNT, PROBE_COUNT),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT),
-        (socket.TCP_NODELAY, 1),
-    ):
+    for option, setting in _OPTIONS:
         made.setsockopt(socket.IPPROTO_TCP, option, setting)
     return made
--- /dev/null
+++ b/src/dykemast/_internal/operations/prompt_caches.py
@@ -0,0 +1,93 @@
+"""Which prompts each model engine is thought to keep."""
+
+import collections
+from collections.abc import Iterable, Sequence
+from typing import Final, NamedTuple
+
+from dykemast._internal.models.caller_request import PromptPart
+from dykemast._internal.models.news import SentPrompt
+from dykemast._internal.operations.prompt_cache import PromptCache
+
+#: Prompts that are remembered to be told, and seconds for which they are: a
+#: few rounds of news.
+MAX_TOLD: Final = 64
+TOLD_AGE: Final = 0.8
+#: Tokens of an engine's cache until a request of this router tells.
+DEFAULT_CAPACITY: Final = 400_000
+
+
+class _Told(NamedTuple):
+    at: float
+    prompt: SentPrompt
+
+
+class PromptCaches:
+    """Estimated caches by engine, from what was sent here and elsewhere."""
+
+    def __init__(self) -> None:
+        """Know nothing yet."""
+        self._caches: dict[str, PromptCache] = {}
+        self._told: collections.deque[_Told] = collections.deque(
+            maxlen=MAX_TOLD
+        )
+
+    def note_sent(
+        self,
+        server: str,
+        prompt: Sequence[PromptPart],
+        capacity: int,
+        now: float,
+    ) -> None:
+        """Note that an engine now keeps a prompt that was sent here.
+
+        :param server: its id.
+        :param prompt: parts of the prompt in order.
+        :param capacity: tokens that its cache holds.
+        :param now: seconds.
+        """
+        self._open(server, capacity).note_prompt(prompt)
+        keys = tuple(part.key for part in prompt)
+        tokens = tuple(part.tokens for part in prompt)
+        self._told.append(_Told(now, SentPrompt(server, keys, tokens)))
+
+    def take(self, prompts: Iterable[SentPrompt]) -> None:
+        """Take what a peer tells.
+
+        :param prompts: prompts that it sent.
+        """
+        for sent in prompts:
+            parts = map(PromptPart, sent.parts, sent.tokens)
+            self._open(sent.server, DEFAULT_CAPACITY).note_prompt(parts)
+
+    def tell(self, now: float) -> tuple[SentPrompt, ...]:
+        """Tell the prompts that were sent lately.
+
+        :param now: seconds.
+        :returns: the prompts.
+        """
+        limit = now - TOLD_AGE
+        return tuple(told.prompt for told in self._told if told.at > limit)
+
+    def count_kept(self, server: str, prompt: Sequence[PromptPart]) -> int:
+        """Count the tokens of a prompt that an engine is thought to keep.
+
+        :param server: its id.
+        :param prompt: parts of the prompt in order.
+        :returns: tokens.
+        """
+        cache = self._caches.get(server)
+        return cache.count_kept(prompt) if cache else 0
+
+    def forget(self, server: str) -> None:
+        """Forget an engine that is gone.
+
+        :param server: its id.
+        """
+        self._caches.pop(server, None)
+
+    def _open(self, server: str, capacity: int) -> PromptCache:
+        cache = self._caches.get(server)
+        if cache is None:
+            cache = PromptCache(capacity)
+            self._caches[server] = cache
+        return cache
--- a/src/dykemast/_internal/operations/server_choice.py
+++ b/src/dykemast/_internal/operations/server_choice.py
@@ -8,8 +8,10 @@
 TOKENS_PER_RUNNING: Final = 250
 #: Load by which a server of another hall must be lighter.
 FAR_SLOTS: Final = 0.1
-#: Failures in a row that make a server the last choice.
-MANY_FAILURES: Final = 2
+#: Trust that is taken for a server that always fails.
+MIN_TRUST: Final = 0.05
+#: Times the load of an engine whose slots are all taken.
+FULL_FACTOR: Final = 4
 
 
 class EngineOption(NamedTuple):
@@ -89,12 +91,12 @@
     tokens += TOKENS_PER_RUNNING * option.running
     if option.running >= option.slots:
         # It would wait for a slot, whatever it keeps.
-        tokens *= 4
-    return tokens / max(0.05, option.trust)
+        tokens *= FULL_FACTOR
+    return tokens / max(MIN_TRUST, option.trust)
 
 
 def _cost_plain(option: ServiceOption) -> float:
     load = option.running / max(1, option.slots)
     if not option.near:
         load += FAR_SLOTS
-    return (load + FAR_SLOTS) / max(0.05, option.trust)
+    return (load + FAR_SLOTS) / max(MIN_TRUST, option.trust)
--- a/src/dykemast/_internal/operations/server_trust.py
+++ b/src/dykemast/_internal/operations/server_trust.py
@@ -42,7 +42,8 @@
         record = self._records.get(server)
         if record is None:
             return 1
-        return 1 - record.failed * math.exp((record.at - now) / FORGET_TIME)
+        kept = math.exp((record.at - now) / FORGET_TIME)
+        return 1 - record.failed * kept
 
     def forget(self, server: str) -> None:
         """Forget a server that is gone.
--- /dev/null
+++ b/src/dykemast/_internal/platform/answer_headers.py
@@ -0,0 +1,32 @@
+"""Header fields of backend servers' answers."""
+
+from typing import Any, Final
+
+from dykemast._internal.models.forwarding import AnswerHead
+from dykemast._internal.platform import names
+
+_ENCODING: Final = 'latin-1'
+#: Answer of a server that is not the one that was meant.
+_MISDIRECTED: Final = 421
+
+
+def decode_answer(status: int, fields: Any) -> AnswerHead:
+    """Decode the head of a backend server's answer.
+
+    :param status: HTTP status.
+    :param fields: its header fields.
+    :returns: the head.
+    """
+    headers = [
+        (name.lower().encode(_ENCODING), text.encode(_ENCODING))
+        for name, text in fields.items()
+        if name.lower() not in names.HOP_FIELDS
+    ]
+    return AnswerHead(
+        status=status,
+        request_id=fields.get(names.ATTEMPT_ID, ''),
+        signed=names.SIGNATURE in fields,
+        not_run=names.NOT_RUN in fields or status == _MISDIRECTED,
+        headers=headers,
+        delimited='content-length' in fields or 'transfer-encoding' in fields,
+    )
--- a/src/dykemast/_internal/platform/configuration.py
+++ b/src/dykemast/_internal/platform/configuration.py
@@ -3,27 +3,20 @@
 from typing import Any, Final
 
 from dykemast._internal.models.routing_table import (
-    Engine,
-    Limits,
-    Route,
-    RouteKind,
     RoutingTable,
-    Service,
-    Share,
     Workspace,
     hash_key,
 )
-from dykemast._internal.platform.objects import StoreObject
+from dykemast._internal.models.services import Engine, Limits, Service
+from dykemast._internal.platform.routes import decode_routes
+from dykemast._internal.platform.store_types import StoreObject
 
 #: Kind and name of the object.
 CONFIGURATION_KIND: Final = 'config'
 CONFIGURATION_NAME: Final = 'main'
 _MS: Final = 1000.0
-_KINDS: Final = {
-    'safe': RouteKind.safe,
-    'unsafe': RouteKind.unsafe,
-    'streaming': RouteKind.stream,
-}
+
+Document = dict[str, Any]
 
 
 def decode_configuration(stored: StoreObject) -> RoutingTable:
@@ -38,7 +31,7 @@
     return RoutingTable(
         version=int(spec['version']),
         revision=stored.revision,
-        routes=_index_routes([_decode_route(one) for one in spec['routes']]),
+        routes=decode_routes(spec['routes']),
         services={
             one['name']: _decode_service(one) for one in spec['services']
         },
@@ -49,7 +42,7 @@
 
 
 def _decode_workspaces(
-    listed: list[dict[str, Any]],
+    listed: list[Document],
 ) -> tuple[dict[str, Workspace], dict[bytes, str]]:
     # Tenants are this project's workspaces.
     workspaces = {
@@ -64,41 +57,7 @@
     return workspaces, keys
 
 
-def _decode_route(fields: dict[str, Any]) -> Route:
-    return Route(
-        name=fields['name'],
-        host=fields['host'].lower(),
-        prefix=fields['pathPrefix'],
-        kind=_KINDS[fields['type']],
-        shares=_decode_shares(fields),
-        timeout=fields['timeoutMs'] / _MS,
-        objective=fields['sloMs'] / _MS,
-        priority=int(fields.get('priority', 0)),
-        max_workers=int(fields.get('attempts', 1)),
-        public=bool(fields.get('public')),
-        resumable=bool(fields.get('resumable')),
-    )
-
-
-def _decode_shares(fields: dict[str, Any]) -> tuple[Share, ...]:
-    # A route names either one service or a split over several.
-    split = fields.get('split')
-    if not split:
-        return (Share(fields['service'], 1),)
-    return tuple(Share(one['service'], one['weight']) for one in split)
-
-
-def _index_routes(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
-    by_host: dict[str, list[Route]] = {}
-    for route in routes:
-        by_host.setdefault(route.host, []).append(route)
-    return {
-        host: tuple(sorted(found, key=lambda one: -len(one.prefix)))
-        for host, found in by_host.items()
-    }
-
-
-def _decode_service(fields: dict[str, Any]) -> Service:
+def _decode_service(fields: Document) -> Service:
     return Service(
         name=fields['name'],
         max_connections=int(fields['maxConns']),
@@ -106,7 +65,7 @@
     )
 
 
-def _decode_engine(fields: dict[str, Any] | None) -> Engine | None:
+def _decode_engine(fields: Document | None) -> Engine | None:
     if not fields:
         return None
     return Engine(
@@ -117,7 +76,7 @@
     )
 
 
-def _decode_limits(fields: dict[str, Any]) -> Limits:
+def _decode_limits(fields: Document) -> Limits:
     return Limits(
         header_bytes=int(fields['maxHeaderBytes']),
         body_bytes=int(fields['maxBodyBytes']),
--- a/src/dykemast/_internal/platform/settings.py
+++ b/src/dykemast/_internal/platform/settings.py
@@ -64,6 +64,18 @@
     return _decode_settings(_Reader(path, document))
 
 
+def read_change_time() -> float:
+    """Read when the settings file was changed.
+
+    :returns: seconds on the clock of the file system; 0 when there is none,
+        which ``read_settings`` tells.
+    """
+    try:
+        return os.stat(os.environ.get(PATH_VARIABLE, '')).st_mtime
+    except OSError:
+        return 0
+
+
 def _decode_settings(reader: _Reader) -> InstanceSettings:
     settings = InstanceSettings(
         name=reader.read('nodeName', str),
--- a/src/dykemast/_internal/serving/accounts.py
+++ b/src/dykemast/_internal/serving/accounts.py
@@ -1,6 +1,7 @@
 """State of the budgets that this router draws on."""
 
 import asyncio
+import dataclasses
 import math
 import time
 from typing import Any, Final, NamedTuple
@@ -8,15 +9,11 @@
 import msgspec
 
 from dykemast._internal.models.budget_ledger import BudgetLedger
-from dykemast._internal.operations.allowance import (
-    Allowance,
-    Identity,
-    Terms,
-    Want,
-    measure_spare,
-)
+from dykemast._internal.operations import ledger_rows
+from dykemast._internal.operations.allowance import Allowance
+from dykemast._internal.operations.allowance_terms import Identity, Terms, Want
 from dykemast._internal.operations.demand import Demand
-from dykemast._internal.platform.objects import StoreObject
+from dykemast._internal.platform.store_types import StoreObject
 
 #: Kind of the objects that hold the budgets.
 BUDGET_KIND: Final = 'dykemast-budgets'
@@ -44,27 +41,33 @@
     until: float = -math.inf
 
 
+@dataclasses.dataclass
 class Account:
     """One workspace's budget, as this router knows it.
 
     :param workspace: its name.
     :param identity: who this router is.
+    :param allowance: what it may consume.
+    :param demand: tokens that requests asked for.
+    :param pending: tokens that requests are waiting for.
+    :param search: looks for tokens now, unless it is done.
+    :param shortage: the last hold that was refused.
+    :param stored: the object as last seen; None when it has to be read
+        before it is written again.
+    :param ledger: what it holds; stays when ``stored`` is forgotten.
+    :param written_at: seconds at which it was last written, or tried to be.
     """
 
-    def __init__(self, workspace: str, identity: Identity) -> None:
-        """Know nothing of the store yet."""
-        self.workspace = workspace
-        self.allowance = Allowance(identity)
-        self.demand = Demand()
-        #: Tokens that requests are waiting for.
-        self.pending = 0
-        #: Looks for tokens now, unless it is done.
-        self.search: asyncio.Task[Any] | None = None
-        self.shortage = Shortage()
-        #: The object as last seen; None when it has to be read first.
-        self.stored: StoreObject | None = None
-        self.ledger: BudgetLedger | None = None
-        self.written_at = -math.inf
+    workspace: str
+    identity: Identity
+    allowance: Allowance = dataclasses.field(default_factory=Allowance)
+    demand: Demand = dataclasses.field(default_factory=Demand)
+    pending: int = 0
+    search: asyncio.Task[Any] | None = None
+    shortage: Shortage = Shortage()
+    stored: StoreObject | None = None
+    ledger: BudgetLedger | None = None
+    written_at: float = -math.inf
 
     def is_short_of(self, tokens: int) -> bool:
         """Tell whether there were too few tokens a moment ago.
@@ -72,8 +75,9 @@
         :param tokens: how many are wanted.
         :returns: whether no more than now were refused.
         """
-        shortage = self.shortage
-        return tokens >= shortage.tokens and time.monotonic() < shortage.until
+        if time.monotonic() > self.shortage.until:
+            return False
+        return tokens >= self.shortage.tokens
 
     def see(self, stored: StoreObject | None) -> None:
         """Take note of the object as it is in the store.
@@ -86,31 +90,26 @@
             self.ledger = _decode_ledger(stored)
 
     def plan(self, terms: Terms, *, spare: bool) -> StoreObject:
-        """Plan the next write.
+        """Plan the next write, and obey it from now on.
 
         :param terms: what bounds the row.
         :param spare: whether to keep any tokens spare.
         :returns: the object to write.
         """
         demand = self.demand.measure(time.monotonic())
-        want = Want(self.pending, demand, spare)
-        planned = self.allowance.plan_write(self.ledger, terms, want)
+        planned = ledger_rows.plan_ledger(
+            self.ledger,
+            self.identity,
+            self.allowance.tell_usage(),
+            terms,
+            Want(self.pending, demand, spare),
+        )
+        row = planned.rows[self.identity.incarnation]
+        self.allowance.expect_limit(row.limit)
         revision = self.stored.revision if self.stored else 0
-        spec = msgspec.to_builtins(planned)
-        return StoreObject(self.workspace, revision, spec)
-
-    def measure_target(self, routers: int) -> int:
-        """Measure how many tokens this router should keep spare.
-
-        :param routers: routers that share the budget.
-        :returns: tokens.
-        """
-        if self.ledger is None:
-            return 0
-        others = self.allowance.list_others(self.ledger)
-        demand = self.demand.measure(time.monotonic())
-        unused = self.ledger.count_unused()
-        return measure_spare(unused, demand, others, routers)
+        return StoreObject(
+            self.workspace, revision, msgspec.to_builtins(planned)
+        )
 
     def take_written(self, written: StoreObject) -> None:
         """Use what the store has confirmed.
@@ -119,7 +118,19 @@
         """
         self.see(written)
         if self.ledger:
-            self.allowance.take_written(self.ledger)
+            row = self.ledger.rows[self.identity.incarnation]
+            self.allowance.confirm_limit(row.limit)
+
+    def measure_target(self, routers: int) -> int:
+        """Measure how many tokens this router should keep spare.
+
+        :param routers: routers that share the budget.
+        :returns: tokens.
+        """
+        ledger = self.ledger
+        if ledger is None or self.identity.incarnation not in ledger.rows:
+            return 0
+        return ledger_rows.measure_spare(ledger, self.identity, routers)
 
 
 def _decode_ledger(stored: StoreObject) -> BudgetLedger | None:
--- a/src/dykemast/_internal/serving/admission.py
+++ b/src/dykemast/_internal/serving/admission.py
@@ -11,8 +11,9 @@
     Share,
     Workspace,
 )
-from dykemast._internal.platform.headers import decode_request
-from dykemast._internal.serving.parts import Parts, Ticket
+from dykemast._internal.platform.request_headers import decode_request
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.parts import Ticket
 from dykemast._internal.serving.refusals import RefusalCode, RefusedError
 
 #: Seconds after which a caller may come back when no configuration is known:
@@ -20,16 +21,16 @@
 CONFIGURATION_RETRY: Final = 0.5
 
 
-def admit(parts: Parts, scope: Any) -> Ticket:
+def admit(board: ServingBoard, scope: Any) -> Ticket:
     """Let a request in.
 
-    :param parts: parts of the program.
+    :param board: the blackboard.
     :param scope: ASGI scope of the request.
     :returns: what decides its way.
     :raises RefusedError: when it is not served.
     """
     request = _decode(scope)
-    table = parts.board.table
+    table = board.table
     if table is None:
         raise RefusedError(
             RefusalCode.no_configuration, retry_after=CONFIGURATION_RETRY
@@ -39,17 +40,13 @@
         details = {'version': table.version, 'path': request.path}
         raise RefusedError(RefusalCode.no_route, details)
     started = time.monotonic()
-    patience = request.patience
-    allowed = (
-        route.timeout if patience is None else min(patience, route.timeout)
-    )
     return Ticket(
         request=request,
         route=route,
         service=table.services[_draw_share(route.shares)],
         workspace=_find_workspace(table, route, request),
         started=started,
-        deadline=started + allowed,
+        deadline=started + _limit_time(request, route),
         version=table.version,
     )
 
@@ -65,6 +62,12 @@
     return request
 
 
+def _limit_time(request: CallerRequest, route: Route) -> float:
+    if request.patience is None:
+        return route.timeout
+    return min(request.patience, route.timeout)
+
+
 def _find_workspace(
     table: RoutingTable,
     route: Route,
--- a/src/dykemast/_internal/serving/attempts.py
+++ b/src/dykemast/_internal/serving/attempts.py
@@ -2,13 +2,14 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from typing import Final
 
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.models.routing_table import RouteKind
 from dykemast._internal.operations.retry_allowance import RetryAllowance
 from dykemast._internal.serving.choices import choose_server
+from dykemast._internal.serving.loads import measure_load
 from dykemast._internal.serving.parts import Parts, Ticket
 from dykemast._internal.serving.refusals import RefusalCode, RefusedError
 from dykemast._internal.utils.events import make_logger
@@ -44,91 +45,53 @@
         :param deliver: sends it to one server and passes the answer on.
         :raises RefusedError: when it was not, and nothing more can be done.
         """
-        self._open_allowance().note_request(time.monotonic())
+        allowance = open_allowance(self._parts, self._ticket.service.name)
+        allowance.note_request(time.monotonic())
         failure: UpstreamError | None = None
         while True:
-            server = self._choose(failure)
+            server = choose_server(self._parts, self._ticket, self.tried)
+            if server is None:
+                raise self._refuse(failure)
             self.tried.append(server.name)
+            _log_send(self._parts, self._ticket, server, len(self.tried))
             try:
                 await deliver(server)
             except UpstreamError as error:
                 failure = error
                 self._note_failure(server, error)
-                self._check_retry(error)
+                if not self._may_retry(error):
+                    raise self._refuse(error) from error
             else:
-                self._note_outcome(server, failed=False)
+                note_outcome(self._parts, server, failed=False)
                 return
 
-    def _choose(self, failure: UpstreamError | None) -> BackendServer:
-        server = choose_server(self._parts, self._ticket, self.tried)
-        if server is None:
-            raise self._refuse(failure)
-        load = self._parts.loads.measure(server.name)
-        _log(
-            'send',
-            **self._identify(),
-            server=server.name,
-            nth=len(self.tried) + 1,
-            running=load.running,
-            unread=load.unread,
-            trust=round(
-                self._parts.trust.measure(server.name, time.monotonic()), 2
-            ),
-        )
-        return server
-
     def _note_failure(
         self,
         server: BackendServer,
         error: UpstreamError,
     ) -> None:
         self.may_have_run = self.may_have_run or error.sent
-        self._note_outcome(server, failed=True)
+        note_outcome(self._parts, server, failed=True)
         _log(
             'send_failed',
-            **self._identify(),
+            request=self._ticket.request.request_id,
             server=server.name,
             may_have_run=error.sent,
             reason=str(error),
         )
 
-    def _note_outcome(self, server: BackendServer, *, failed: bool) -> None:
-        now = time.monotonic()
-        self._parts.trust.note_outcome(server.name, now, failed=failed)
-        outcome = 'failed' if failed else 'done'
-        self._parts.meters.sends.inc(
-            {
-                'service': self._ticket.service.name,
-                'outcome': outcome,
-            }
-        )
-
-    def _check_retry(self, error: UpstreamError) -> None:
-        """Find out whether another server may get the request.
-
-        :raises RefusedError: when none may.
-        """
-        route = self._ticket.route
-        left = self._ticket.deadline - time.monotonic()
-        repeatable = is_repeatable(self._ticket)
-        if left < MIN_TIME_LEFT or (error.sent and not repeatable):
-            raise self._refuse(error)
-        if len(self.tried) >= route.max_workers and not error.unconnected:
-            raise self._refuse(error)
+    def _may_retry(self, error: UpstreamError) -> bool:
+        ticket = self._ticket
+        if ticket.deadline - time.monotonic() < MIN_TIME_LEFT:
+            return False
+        if error.sent and not is_repeatable(ticket):
+            return False
+        sends = len(self.tried)
+        if sends >= ticket.route.max_workers and not error.unconnected:
+            return False
+        allowance = open_allowance(self._parts, ticket.service.name)
         routers = 1 + len(self._parts.board.peers)
-        if not self._open_allowance().spend(time.monotonic(), routers):
-            raise self._refuse(error)
-
-    def _open_allowance(self) -> RetryAllowance:
-        name = self._ticket.service.name
-        allowance = self._parts.retries.get(name)
-        if allowance is None:
-            bounds = self._parts.board.settings.bounds
-            allowance = RetryAllowance(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
-            )
-            self._parts.retries[name] = allowance
-        return allowance
+        return allowance.spend(time.monotonic(), routers)
 
     def _refuse(self, failure: UpstreamError | None) -> RefusedError:
         details = {'tried': self.tried, 'reason': str(failure)}
@@ -138,11 +101,34 @@
             return RefusedError(RefusalCode.too_late, details)
         return RefusedError(RefusalCode.upstream_failed, details)
 
-    def _identify(self) -> dict[str, Any]:
-        return {
-            'request': self._ticket.request.request_id,
-            'service': self._ticket.service.name,
-        }
+
+def open_allowance(parts: Parts, service: str) -> RetryAllowance:
+    """Find the allowance for second sends to a service, or open it.
+
+    :param parts: parts of the program.
+    :param service: the service.
+    :returns: its allowance.
+    """
+    allowance = parts.retries.get(service)
+    if allowance is None:
+        bounds = parts.board.settings.bounds
+        allowance = RetryAllowance(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+        )
+        parts.retries[service] = allowance
+    return allowance
+
+
+def note_outcome(parts: Parts, server: BackendServer, *, failed: bool) -> None:
+    """Take note of how a backend server did.
+
+    :param parts: parts of the program.
+    :param server: the server.
+    :param failed: whether it failed.
+    """
+    parts.trust.note_outcome(server.name, time.monotonic(), failed=failed)
+    outcome = 'failed' if failed else 'done'
+    parts.meters.sends.inc({'service': server.service, 'outcome': outcome})
 
 
 def is_repeatable(ticket: Ticket) -> bool:
@@ -153,3 +139,23 @@
     """
     route = ticket.route
     return route.kind is RouteKind.safe or route.resumable
+
+
+def _log_send(
+    parts: Parts,
+    ticket: Ticket,
+    server: BackendServer,
+    nth: int,
+) -> None:
+    now = time.monotonic()
+    load = measure_load(parts.loads, server.name, now)
+    _log(
+        'send',
+        request=ticket.request.request_id,
+        service=ticket.service.name,
+        server=server.name,
+        nth=nth,
+        running=load.running,
+        unread=load.unread,
+        trust=round(parts.trust.measure(server.name, now), 2),
+    )
--- a/src/dykemast/_internal/serving/backends.py
+++ b/src/dykemast/_internal/serving/backends.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from dykemast._internal.models.backend import BackendServer
-from dykemast._internal.platform.objects import StoreObject
+from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.platform.servers import SERVER_KIND, decode_server
 from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.serving.followers import Follower
--- a/src/dykemast/_internal/serving/board.py
+++ b/src/dykemast/_internal/serving/board.py
@@ -67,6 +67,13 @@
     stopping: bool = False
     store_away_since: float = 0
 
+    def count_version(self) -> int:
+        """Tell the version of the configuration in force.
+
+        :returns: its version; 0 for none.
+        """
+        return self.table.version if self.table else 0
+
     def make_card(self) -> PeerCard:
         """Describe this router to others.
 
@@ -80,7 +87,7 @@
             host=listeners.caller.host,
             caller_port=listeners.caller.port,
             peer_port=listeners.peer.port,
-            revision=self.table.version if self.table else 0,
+            revision=self.count_version(),
             inflight=self.inflight,
             leaving=self.stopping,
         )
--- /dev/null
+++ b/src/dykemast/_internal/serving/budget_upkeep.py
@@ -0,0 +1,124 @@
+"""Keep the rows of budgets in line with demand and configuration."""
+
+import asyncio
+import time
+from typing import Final, NamedTuple
+
+from dykemast._internal.exceptions import PlatformError
+from dykemast._internal.platform.objects import ObjectStore
+from dykemast._internal.serving.accounts import (
+    BUDGET_KIND,
+    Account,
+    Shortage,
+)
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.budgets import Budgets
+from dykemast._internal.serving.ledger_writer import LedgerWriter
+from dykemast._internal.serving.token_search import TokenSearch
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('budgets')
+
+#: Seconds between two looks at the rows.
+REVIEW_PAUSE: Final = 0.5
+#: Seconds between two writes of a budget on nobody's behalf.
+IDLE_WRITE_PAUSE: Final = 3.0
+#: Part of its target to which spare may fall before more is asked for, and
+#: times its target to which it may grow before some is given back.
+REFILL_SHARE: Final = 0.5
+SURPLUS_FACTOR: Final = 2
+#: Tokens by which that has to be worth a call.
+MIN_CHANGE: Final = 4000
+
+
+class Upkeep(NamedTuple):
+    """What the upkeep of budgets needs.
+
+    :param board: the blackboard.
+    :param store: the object store.
+    :param budgets: the accounts.
+    :param writer: writes rows.
+    :param search: knows which rows are being written.
+    """
+
+    board: ServingBoard
+    store: ObjectStore
+    budgets: Budgets
+    writer: LedgerWriter
+    search: TokenSearch
+
+
+async def follow_table(upkeep: Upkeep) -> None:
+    """Obey each new configuration at once, for ever.
+
+    :param upkeep: what it needs.
+    """
+    while True:
+        await upkeep.board.table_changed.wait()
+        upkeep.board.table_changed.clear()
+        for account in upkeep.budgets.accounts.values():
+            _obey_table(upkeep, account)
+
+
+async def review_rows(upkeep: Upkeep) -> None:
+    """Write rows whose spare is off its target, for ever.
+
+    :param upkeep: what it needs.
+    """
+    await _close_rows(upkeep)
+    while True:
+        await asyncio.sleep(REVIEW_PAUSE)
+        routers = 1 + len(upkeep.board.peers)
+        for account in upkeep.budgets.accounts.values():
+            if upkeep.writer.may_try() and _is_off_target(account, routers):
+                upkeep.search.start(account, upkeep.writer.write(account))
+
+
+async def give_back(upkeep: Upkeep) -> None:
+    """Give everything back that is not consumed.
+
+    :param upkeep: what it needs.
+    """
+    for account in upkeep.budgets.accounts.values():
+        _drop_spare(account)
+        if upkeep.writer.may_try():
+            await upkeep.writer.write(account, spare=False)
+
+
+async def _close_rows(upkeep: Upkeep) -> None:
+    """Close the rows of the process before on this instance."""
+    try:
+        listing = await upkeep.store.list_kind(BUDGET_KIND)
+    except PlatformError as error:
+        # Each is closed when it is next written.
+        _log('rows_not_closed', reason=str(error))
+        return
+    for stored in listing.found:
+        account = upkeep.budgets.open_account(stored.name)
+        account.see(stored)
+        rows = account.ledger.rows.values() if account.ledger else ()
+        if upkeep.board.settings.name in {row.instance for row in rows}:
+            upkeep.search.start(account, upkeep.writer.write(account))
+
+
+def _obey_table(upkeep: Upkeep, account: Account) -> None:
+    account.shortage = Shortage()
+    terms = upkeep.writer.read_terms(account.workspace)
+    ledger = account.ledger
+    if ledger and terms.prepaid < ledger.prepaid:
+        _drop_spare(account)
+
+
+def _drop_spare(account: Account) -> None:
+    """Allow no more than what is consumed and held already."""
+    account.allowance.expect_limit(account.allowance.count_charged())
+
+
+def _is_off_target(account: Account, routers: int) -> bool:
+    if time.monotonic() - account.written_at < IDLE_WRITE_PAUSE:
+        return False
+    room = account.allowance.count_room()
+    target = account.measure_target(routers)
+    if abs(room - target) < MIN_CHANGE:
+        return False
+    return not REFILL_SHARE * target < room < SURPLUS_FACTOR * target
--- a/src/dykemast/_internal/serving/choices.py
+++ b/src/dykemast/_internal/serving/choices.py
@@ -12,6 +12,7 @@
     choose_plain,
 )
 from dykemast._internal.serving.backends import list_usable
+from dykemast._internal.serving.loads import measure_load
 from dykemast._internal.serving.parts import Parts, Ticket
 
 
@@ -51,7 +52,7 @@
     :returns: tokens.
     """
     request = ticket.request
-    kept = parts.loads.count_kept(server, request.prompt)
+    kept = parts.loads.caches.count_kept(server, request.prompt)
     return max(0, request.prompt_tokens - kept)
 
 
@@ -60,22 +61,24 @@
     ticket: Ticket,
     server: BackendServer,
 ) -> EngineOption:
-    load = parts.loads.measure(server.name)
+    now = time.monotonic()
+    load = measure_load(parts.loads, server.name, now)
     return EngineOption(
         server=server.name,
         running=load.running,
         slots=server.slots,
         unread=load.unread,
         missing=count_missing(parts, ticket, server.name),
-        trust=parts.trust.measure(server.name, time.monotonic()),
+        trust=parts.trust.measure(server.name, now),
     )
 
 
 def _weigh_plain(parts: Parts, server: BackendServer) -> ServiceOption:
+    now = time.monotonic()
     return ServiceOption(
         server=server.name,
-        running=parts.loads.measure(server.name).running,
+        running=measure_load(parts.loads, server.name, now).running,
         slots=server.slots,
         near=server.hall == parts.board.settings.hall,
-        trust=parts.trust.measure(server.name, time.monotonic()),
+        trust=parts.trust.measure(server.name, now),
     )
--- a/src/dykemast/_internal/serving/configuration.py
+++ b/src/dykemast/_internal/serving/configuration.py
@@ -2,13 +2,12 @@
 
 import msgspec
 
-from dykemast._internal.exceptions import DykemastError
 from dykemast._internal.platform.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
     decode_configuration,
 )
-from dykemast._internal.platform.objects import StoreObject
+from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.serving.followers import Follower
 from dykemast._internal.utils.events import make_logger
@@ -16,10 +15,6 @@
 _log = make_logger('configuration')
 
 
-class ConfigurationError(DykemastError):
-    """A peer sent a configuration that makes no sense."""
-
-
 def make_follower(board: ServingBoard) -> Follower:
     """Make what follows the configuration object.
 
@@ -32,8 +27,7 @@
             take_configuration(board, stored, 'store')
 
     def ignore(_: object) -> None:
-        # A configuration that is gone from the store stays in force.
-        return
+        """Keep a configuration in force that is gone from the store."""
 
     return Follower(CONFIGURATION_KIND, take_object, ignore, ignore)
 
@@ -51,7 +45,7 @@
     :raises KeyError, TypeError, ValueError: when it makes no sense.
     """
     table = decode_configuration(stored)
-    before = board.table.version if board.table else 0
+    before = board.count_version()
     if table.version <= before:
         return
     board.table = table
@@ -63,7 +57,7 @@
         before=before,
         revision=stored.revision,
         source=source,
-        routes=sum(len(found) for found in table.routes.values()),
+        routes=len(table.routes),
         workspaces=len(table.workspaces),
     )
 
@@ -71,14 +65,18 @@
 def take_from_peer(board: ServingBoard, body: bytes, peer: str) -> None:
     """Put a peer's configuration in force if it is newer.
 
+    One that makes no sense is logged; the one before stays in force.
+
     :param board: the blackboard.
     :param body: as the peer keeps it.
     :param peer: its instance.
-    :raises ConfigurationError: when it makes no sense.
     """
     try:
-        stored = msgspec.msgpack.decode(body, type=StoreObject)
-        take_configuration(board, stored, peer)
+        _decode_and_take(board, body, peer)
     except (KeyError, TypeError, ValueError) as error:
-        text = f'{peer} sent a configuration that is not usable: {error}'
-        raise ConfigurationError(text) from error
+        _log('configuration_not_usable', peer=peer, reason=str(error))
+
+
+def _decode_and_take(board: ServingBoard, body: bytes, peer: str) -> None:
+    stored = msgspec.msgpack.decode(body, type=StoreObject)
+    take_configuration(board, stored, peer)
--- a/src/dykemast/_internal/serving/entry.py
+++ b/src/dykemast/_internal/serving/entry.py
@@ -4,10 +4,11 @@
 import time
 from typing import Any, Final
 
-import msgspec
-
 from dykemast._internal.models.deployment import Endpoint
-from dykemast._internal.platform.headers import decode_entry_name, encode_entry
+from dykemast._internal.platform.entry_messages import (
+    decode_entry_name,
+    encode_entry,
+)
 from dykemast._internal.serving.board import ServingBoard, list_heard
 from dykemast._internal.serving.meters import render_meters
 from dykemast._internal.serving.parts import Parts
@@ -20,8 +21,8 @@
 MAX_ADDRESSES: Final = 64
 _OK: Final = 200
 _NOT_READY: Final = 503
-_JSON: Final = [(b'content-type', b'application/json')]
-_TEXT: Final = [(b'content-type', b'text/plain; version=0.0.4')]
+_JSON: Final = (b'content-type', b'application/json')
+_TEXT: Final = (b'content-type', b'text/plain; version=0.0.4')
 
 
 def make_side_application(parts: Parts) -> Any:
@@ -32,7 +33,7 @@
     """
 
     async def application(scope: Any, receive: Receive, send: Send) -> None:
-        responder = Responder(send, lambda: False)
+        responder = Responder(send, bool)
         port = scope['server'][1]
         listeners = parts.board.settings.listeners
         if port == listeners.entry.port:
@@ -65,8 +66,7 @@
         await responder.answer(_NOT_READY, [], b'')
         return
     ttl = min(ENTRY_TTL, board.settings.bounds.max_entry_ttl)
-    body = msgspec.json.encode(encode_entry(addresses, ttl))
-    await responder.answer(_OK, _JSON, body)
+    await responder.answer(_OK, [_JSON], encode_entry(addresses, ttl))
 
 
 def _list_addresses(board: ServingBoard) -> list[Endpoint]:
@@ -95,13 +95,13 @@
     away = board.store_away_since
     return {
         'inflight': board.inflight,
-        'configuration': board.table.version if board.table else 0,
+        'configuration': board.count_version(),
         'servers': len(board.servers),
-        'peers_heard': len(list(list_heard(board))),
+        'peers_heard': sum(1 for _ in list_heard(board)),
         'store_away_s': round(now - away, 1) if away else 0,
     }
 
 
 async def _answer_metrics(parts: Parts, responder: Responder) -> None:
     body = render_meters(parts.meters, describe_state(parts))
-    await responder.answer(_OK, _TEXT, body)
+    await responder.answer(_OK, [_TEXT], body)
--- a/src/dykemast/_internal/serving/event_parser.py
+++ b/src/dykemast/_internal/serving/event_parser.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from dykemast._internal.exceptions import UpstreamError
+
 #: Bytes of one event at most.
 MAX_EVENT: Final = 1_048_576
 _END: Final = b'\n\n'
@@ -20,11 +22,12 @@
 
         :param chunk: the bytes.
         :returns: events that are whole now, with the blank line at the end.
-        :raises ValueError: when an event is too long.
+        :raises UpstreamError: when an event is too long.
         """
-        *events, self._rest = (self._rest + chunk).split(_END)
+        events = (self._rest + chunk).split(_END)
+        self._rest = events.pop()
         if len(self._rest) > MAX_EVENT:
-            raise ValueError('an event is too long.')
+            raise UpstreamError('an event is too long', sent=True)
         return [event + _END for event in events]
 
     def has_rest(self) -> bool:
@@ -34,14 +37,14 @@
         """
         return bool(self._rest)
 
-    @staticmethod
-    def read_id(event: bytes) -> str:
-        """Read the id of an event.
 
-        :param event: the event.
-        :returns: its id; empty when it has none.
-        """
-        for line in event.split(b'\n'):
-            if line.startswith(_ID):
-                return line[len(_ID) :].strip().decode('latin-1')
-        return ''
+def read_event_id(event: bytes) -> str:
+    """Read the id of an event.
+
+    :param event: the event.
+    :returns: its id; empty when it has none.
+    """
+    for line in event.split(b'\n'):
+        if line.startswith(_ID):
+            return line[len(_ID) :].strip().decode('latin-1')
+    return ''
--- a/src/dykemast/_internal/serving/followers.py
+++ b/src/dykemast/_internal/serving/followers.py
@@ -7,10 +7,10 @@
 from typing import Final, NamedTuple
 
 from dykemast._internal.exceptions import HistoryLostError, PlatformError
-from dykemast._internal.platform.objects import (
+from dykemast._internal.platform.objects import ObjectStore
+from dykemast._internal.platform.store_types import (
     Changes,
     Listing,
-    ObjectStore,
     StoreObject,
 )
 from dykemast._internal.serving.board import ServingBoard
@@ -88,9 +88,9 @@
     :param follower: what to do with the objects.
     :param listing: all objects of its kind.
     """
-    for stored in listing.objects:
+    for stored in listing.found:
         _take(follower, stored)
-    follower.take_names({stored.name for stored in listing.objects})
+    follower.take_names({one.name for one in listing.found})
 
 
 def _take_changes(follower: Follower, changes: Changes) -> None:
--- a/src/dykemast/_internal/serving/ledger_writer.py
+++ b/src/dykemast/_internal/serving/ledger_writer.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 
 from dykemast._internal.exceptions import PlatformError, VersionConflictError
-from dykemast._internal.operations.allowance import Terms
+from dykemast._internal.operations.allowance_terms import Terms
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.serving.accounts import BUDGET_KIND, Account
 from dykemast._internal.serving.board import ServingBoard
@@ -102,15 +102,20 @@
     :returns: what is known of it, and of which revision.
     """
     ledger = account.ledger
-    usage = account.allowance.usage
-    return {
+    allowance = account.allowance
+    described = {
         'workspace': account.workspace,
         'revision': account.stored.revision if account.stored else None,
-        'version': ledger.version if ledger else None,
-        'prepaid': ledger.prepaid if ledger else None,
-        'free': ledger.count_free() if ledger else None,
-        'closed': ledger.closed if ledger else None,
-        'room': account.allowance.count_room(),
-        'spent': usage.spent,
-        'held': usage.held,
+        'room': allowance.count_room(),
+        'spent': allowance.spent,
+        'held': allowance.held,
+    }
+    if ledger is None:
+        return described
+    return {
+        **described,
+        'version': ledger.version,
+        'prepaid': ledger.prepaid,
+        'free': ledger.count_free(),
+        'closed': ledger.closed,
     }
--- a/src/dykemast/_internal/serving/loans.py
+++ b/src/dykemast/_internal/serving/loans.py
@@ -1,7 +1,9 @@
 """Borrow spare tokens of a budget from other routers."""
 
 import asyncio
+from typing import Final
 
+from dykemast._internal.exceptions import PeerError
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.serving.accounts import Account
 from dykemast._internal.serving.gossip import Gossip
@@ -9,30 +11,63 @@
 
 _log = make_logger('loans')
 
+#: Peers asked for spare tokens at once at most.
+MAX_LENDERS: Final = 6
 
-async def borrow_tokens(gossip: Gossip, account: Account) -> None:
+
+async def borrow_tokens(
+    gossip: Gossip,
+    peers: list[PeerCard],
+    account: Account,
+) -> None:
     """Ask peers for the tokens that requests wait for.
 
     All are asked at once, since one may be slow or cut off; what comes in
     excess is of use to the next requests here.
 
     :param gossip: calls peers.
+    :param peers: those that answer.
     :param account: the budget.
     """
-    lenders = gossip.list_lenders(account.ledger)
+    lenders = choose_lenders(peers, account)
     missing = account.pending - account.allowance.count_room()
-    if not lenders or missing <= 0:
-        return
+    if missing > 0:
+        asks = (_ask(gossip, card, account, missing) for card in lenders)
+        await asyncio.gather(*asks)
+
 
-    async def ask(card: PeerCard) -> None:
-        given = await gossip.borrow(card, account.workspace, missing)
-        account.allowance.usage.borrowed += given
-        _log(
-            'tokens_borrowed',
-            workspace=account.workspace,
-            peer=card.instance,
-            tokens=given,
-            missing=missing,
-        )
-
-    await asyncio.gather(*(ask(card) for card in lenders))
+def choose_lenders(peers: list[PeerCard], account: Account) -> list[PeerCard]:
+    """Choose peers that may have spare tokens, the richest first.
+
+    :param peers: those that answer.
+    :param account: the budget.
+    :returns: their cards.
+    """
+    rows = account.ledger.rows.values() if account.ledger else ()
+    spare = {row.instance: row.limit - row.charged for row in rows}
+    lenders = [card for card in peers if spare.get(card.instance)]
+    lenders.sort(key=lambda card: -spare[card.instance])
+    return lenders[:MAX_LENDERS]
+
+
+async def _ask(
+    gossip: Gossip,
+    card: PeerCard,
+    account: Account,
+    missing: int,
+) -> None:
+    try:
+        given = await gossip.call(card, 'lend', account.workspace, missing)
+    except PeerError as error:
+        # If it lent without an answer, the tokens are lost rather than
+        # used twice.
+        _log('loan_failed', peer=card.instance, reason=str(error))
+        return
+    account.allowance.borrowed += given
+    _log(
+        'tokens_borrowed',
+        workspace=account.workspace,
+        peer=card.instance,
+        tokens=given,
+        missing=missing,
+    )
--- /dev/null
+++ b/src/dykemast/_internal/serving/loops.py
@@ -0,0 +1,75 @@
+"""Loops that run as long as the program does."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Final
+
+from dykemast._internal.exceptions import PlatformError
+from dykemast._internal.platform.objects import ObjectStore
+from dykemast._internal.serving import (
+    backends,
+    budget_upkeep,
+    configuration,
+    members,
+)
+from dykemast._internal.serving.assembly import Assembly
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.entry import describe_state
+from dykemast._internal.serving.followers import follow_kind
+from dykemast._internal.serving.freshness import Checked, keep_fresh
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('router')
+
+#: Seconds that the configuration may be old; users allow 2 s.
+CONFIGURATION_AGE: Final = 1.4
+#: Seconds that the list of backend servers may be old; users allow 2 s.
+SERVERS_AGE: Final = 1.6
+#: Seconds between two lines on the state of the router.
+STATE_PAUSE: Final = 10.0
+#: Seconds between two tries to list this router in the store.
+LIST_PAUSE: Final = 0.5
+
+Loop = Coroutine[Any, Any, None]
+
+
+def list_loops(assembly: Assembly) -> list[Loop]:
+    """List the loops of the program.
+
+    :param assembly: its parts.
+    :returns: the loops, not yet started.
+    """
+    board = assembly.parts.board
+    store = assembly.store
+    tables = configuration.make_follower(board)
+    servers = backends.make_follower(board)
+    followers = (tables, servers, members.make_follower(board))
+    return [
+        keep_fresh(board, store, Checked(tables, CONFIGURATION_AGE)),
+        keep_fresh(board, store, Checked(servers, SERVERS_AGE)),
+        *(follow_kind(board, store, follower) for follower in followers),
+        _list_self(board, store),
+        assembly.gossip.spread(),
+        budget_upkeep.follow_table(assembly.upkeep),
+        budget_upkeep.review_rows(assembly.upkeep),
+        _log_state(assembly),
+    ]
+
+
+async def _log_state(assembly: Assembly) -> None:
+    while True:
+        await asyncio.sleep(STATE_PAUSE)
+        state = describe_state(assembly.parts)
+        _log('state', **state, store_calls=assembly.store.calls)
+
+
+async def _list_self(board: ServingBoard, store: ObjectStore) -> None:
+    listed = False
+    while not listed:
+        try:
+            await members.list_self(board, store)
+        except PlatformError as error:
+            _log('entry_not_written', reason=str(error))
+            await asyncio.sleep(LIST_PAUSE)
+        else:
+            listed = True
--- /dev/null
+++ b/src/dykemast/_internal/serving/peer_calls.py
@@ -0,0 +1,49 @@
+"""What other routers may call."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from dykemast._internal.network.peer_server import listen
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.gossip import fleet_idl
+from dykemast._internal.serving.peer_news import NewsDesk
+
+Lend = Callable[[str, int], Awaitable[int]]
+
+
+class _Calls(NamedTuple):
+    """Calls by the names of the interface definition."""
+
+    exchange: Callable[[bytes], Awaitable[bytes]]
+    lend: Lend
+    newer_configuration: Callable[[int], Awaitable[bytes]]
+
+
+async def open_peer_server(
+    board: ServingBoard,
+    desk: NewsDesk,
+    lend: Lend,
+) -> Any:
+    """Listen for other routers.
+
+    :param board: the blackboard.
+    :param desk: writes and takes news.
+    :param lend: gives spare tokens away.
+    :returns: the listening server, to be closed by its ``close``.
+    """
+
+    async def exchange(body: bytes) -> bytes:
+        try:
+            desk.take_news(body)
+        except msgspec.MsgspecError as error:
+            raise fleet_idl.Refused(reason=str(error)) from error
+        return desk.write_news()
+
+    async def newer_configuration(above: int) -> bytes:
+        return board.table_raw if board.count_version() > above else b''
+
+    endpoint = board.settings.listeners.peer
+    calls = _Calls(exchange, lend, newer_configuration)
+    return await listen(fleet_idl.Fleet, calls, endpoint.host, endpoint.port)
--- /dev/null
+++ b/src/dykemast/_internal/serving/peer_news.py
@@ -0,0 +1,63 @@
+"""News of this router, and what is taken from those of others."""
+
+import time
+
+import msgspec
+
+from dykemast._internal.models.news import News
+from dykemast._internal.serving import backends, freshness, members
+from dykemast._internal.serving.board import ServingBoard, is_silent
+from dykemast._internal.serving.loads import Loads
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('gossip')
+
+
+class NewsDesk:
+    """Writes this router's news and takes those of others.
+
+    :param board: the blackboard.
+    :param loads: requests at backend servers.
+    """
+
+    def __init__(self, board: ServingBoard, loads: Loads) -> None:
+        """Keep both."""
+        self._board = board
+        self._loads = loads
+
+    def write_news(self) -> bytes:
+        """Write this router's news.
+
+        :returns: their body.
+        """
+        news = News(
+            card=self._board.make_card(),
+            leaving=tuple(self._board.leaving),
+            loads=self._loads.own.tell_all(),
+            prompts=self._loads.caches.tell(time.monotonic()),
+            ages=freshness.tell_ages(self._board),
+        )
+        return msgspec.msgpack.encode(news)
+
+    def take_news(self, body: bytes) -> None:
+        """Take a peer's news.
+
+        :param body: as it wrote them.
+        :raises msgspec.MsgspecError: when they make no sense.
+        """
+        news = msgspec.msgpack.decode(body, type=News)
+        card = news.card
+        members.meet_peer(self._board, card)
+        peer = self._board.peers.get(card.instance)
+        if peer is None:
+            return
+        if is_silent(peer):
+            _log('peer_heard', peer=card.instance, version=card.revision)
+        peer.card = card
+        peer.heard_at = time.monotonic()
+        backends.note_leaving(self._board, news.leaving, card.instance)
+        self._loads.peers.take(card.instance, news.loads, peer.heard_at)
+        self._loads.caches.take(news.prompts)
+        if self._board.count_version() >= card.revision:
+            # Else the newer configuration has to be fetched first.
+            freshness.note_ages(self._board, news.ages)
--- a/src/dykemast/_internal/serving/plain_calls.py
+++ b/src/dykemast/_internal/serving/plain_calls.py
@@ -1,26 +1,23 @@
 """Requests that are answered at once."""
 
 import time
+from typing import Final, NamedTuple
 
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.models.backend import BackendServer
-from dykemast._internal.platform.headers import Forwarding
+from dykemast._internal.models.forwarding import AnswerHead, Forwarding
 from dykemast._internal.serving.attempts import Attempts, is_repeatable
 from dykemast._internal.serving.parts import Parts, Ticket
 from dykemast._internal.serving.responder import Responder
-from dykemast._internal.serving.upstream import Answer, Sending
+from dykemast._internal.serving.upstream import Sending
 
 #: Statuses from which a repeatable request may do better elsewhere.
-_FIRST_SERVER_ERROR = 500
+FIRST_SERVER_ERROR: Final = 500
 
 
-class _Whole(UpstreamError):
-    """A failure that the backend server answered whole."""
-
-    def __init__(self, answer: Answer, body: bytes) -> None:
-        super().__init__(f'status {answer.head.status}', sent=True)
-        self.answer = answer
-        self.body = body
+class _Whole(NamedTuple):
+    head: AnswerHead
+    body: bytes
 
 
 async def serve_plain(
@@ -40,14 +37,13 @@
     attempts = Attempts(parts, ticket)
 
     async def deliver(server: BackendServer) -> None:
-        answer, whole = await _fetch(parts, ticket, server, body)
-        failed = answer.head.status >= _FIRST_SERVER_ERROR
+        whole = await _fetch(parts, ticket, server, body)
+        status = whole.head.status
         may_repeat = len(attempts.tried) < ticket.route.max_workers
-        if failed and may_repeat and is_repeatable(ticket):
-            raise _Whole(answer, whole)
-        await responder.answer(
-            answer.head.status, [*answer.head.headers], whole
-        )
+        if status >= FIRST_SERVER_ERROR and may_repeat:
+            if is_repeatable(ticket):
+                raise UpstreamError(f'status {status}', sent=True)
+        await responder.answer(status, whole.head.headers, whole.body)
 
     await attempts.run(deliver)
 
@@ -57,21 +53,15 @@
     ticket: Ticket,
     server: BackendServer,
     body: bytes,
-) -> tuple[Answer, bytes]:
-    parts.loads.begin(server.name, 0)
+) -> _Whole:
     workspace = ticket.workspace.name if ticket.workspace else ''
     left = ticket.deadline - time.monotonic()
     added = Forwarding(server.name, workspace, left)
     sending = Sending(server, ticket.request, body, added, ticket.deadline)
-    answer: Answer | None = None
+    parts.loads.own.begin(server.name, 0)
     try:
-        answer = await parts.upstreams.send(sending)
-        whole = await answer.read_whole(ticket.deadline)
-    except BaseException:
-        if answer:
-            answer.close()
-        raise
+        async with parts.upstreams.send(sending) as answer:
+            whole = await answer.read_whole(ticket.deadline)
+            return _Whole(answer.head, whole)
     finally:
-        parts.loads.end(server.name)
-    answer.release()
-    return answer, whole
+        parts.loads.own.end(server.name)
--- /dev/null
+++ b/src/dykemast/_internal/serving/records.py
@@ -0,0 +1,72 @@
+"""What is logged and counted of each request."""
+
+import time
+
+from dykemast._internal.serving.parts import Parts, Ticket
+from dykemast._internal.serving.refusals import RefusedError
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('request')
+
+
+def log_admitted(ticket: Ticket) -> None:
+    """Log that a request was let in, and why so.
+
+    :param ticket: the request.
+    """
+    request = ticket.request
+    workspace = ticket.workspace
+    _log(
+        'admitted',
+        request=request.request_id,
+        route=ticket.route.name,
+        service=ticket.service.name,
+        workspace=workspace.name if workspace else None,
+        version=ticket.version,
+        tokens=request.prompt_tokens + request.output_tokens,
+        left_s=round(ticket.deadline - ticket.started, 3),
+    )
+
+
+def note_end(parts: Parts, ticket: Ticket, outcome: str) -> None:
+    """Log and count the end of a request that was not refused.
+
+    :param parts: parts of the program.
+    :param ticket: the request.
+    :param outcome: ``served`` or ``caller_left``.
+    """
+    took = time.monotonic() - ticket.started
+    kind = ticket.route.kind.value
+    parts.meters.requests.inc({'kind': kind, 'outcome': outcome})
+    parts.meters.whole.observe({'kind': kind}, took)
+    _log(
+        outcome,
+        request=ticket.request.request_id,
+        route=ticket.route.name,
+        took_s=round(took, 3),
+    )
+
+
+def note_refusal(
+    parts: Parts,
+    error: RefusedError,
+    request_id: str,
+    started: float,
+) -> None:
+    """Log and count a refusal, or an answer that cannot be finished.
+
+    :param parts: parts of the program.
+    :param error: the refusal.
+    :param request_id: id that the caller gave the request.
+    :param started: seconds at which it came.
+    """
+    parts.meters.refusals.inc({'code': error.code.name})
+    _log(
+        'refused',
+        request=request_id,
+        code=error.code.name,
+        status=int(error.code.value.status),
+        retry_after_s=error.retry_after,
+        took_s=round(time.monotonic() - started, 3),
+        **error.details,
+    )
--- a/src/dykemast/_internal/serving/refusals.py
+++ b/src/dykemast/_internal/serving/refusals.py
@@ -1,6 +1,7 @@
 """Refusals: their codes, and what callers are told."""
 
 import enum
+from http import HTTPStatus
 from typing import Any, NamedTuple
 
 import msgspec
@@ -8,6 +9,9 @@
 from dykemast._internal.exceptions import DykemastError
 
 
+Headers = list[tuple[bytes, bytes]]
+
+
 class _Reason(NamedTuple):
     status: int
     text: str
@@ -20,20 +24,37 @@
     leave that open.
     """
 
-    malformed = _Reason(400, 'The request is malformed.')
-    wrong_key = _Reason(401, 'The key is not known.')
-    budget_spent = _Reason(402, 'The rest of the budget cannot hold it.')
-    no_route = _Reason(404, 'There is no such route.')
-    too_large = _Reason(413, 'The body is too large.')
-    budget_held = _Reason(429, 'Other requests hold the rest of the budget.')
-    budget_away = _Reason(503, 'The budget cannot be read now.')
-    no_configuration = _Reason(503, 'No configuration is known yet.')
-    no_server = _Reason(503, 'No backend server can take it now.')
-    stopping = _Reason(503, 'This router is about to end.')
+    malformed = _Reason(HTTPStatus.BAD_REQUEST, 'The request is malformed.')
+    wrong_key = _Reason(HTTPStatus.UNAUTHORIZED, 'The key is not known.')
+    budget_spent = _Reason(
+        HTTPStatus.PAYMENT_REQUIRED, 'The rest of the budget cannot hold it.'
+    )
+    no_route = _Reason(HTTPStatus.NOT_FOUND, 'There is no such route.')
+    too_large = _Reason(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'The body is too large.'
+    )
+    budget_held = _Reason(
+        HTTPStatus.TOO_MANY_REQUESTS,
+        'Other requests hold the rest of the budget.',
+    )
+    budget_away = _Reason(
+        HTTPStatus.SERVICE_UNAVAILABLE, 'The budget cannot be read now.'
+    )
+    no_configuration = _Reason(
+        HTTPStatus.SERVICE_UNAVAILABLE, 'No configuration is known yet.'
+    )
+    no_server = _Reason(
+        HTTPStatus.SERVICE_UNAVAILABLE, 'No backend server can take it now.'
+    )
+    stopping = _Reason(
+        HTTPStatus.SERVICE_UNAVAILABLE, 'This router is about to end.'
+    )
     upstream_failed = _Reason(
-        502, 'The backend server failed; it may have run.'
+        HTTPStatus.BAD_GATEWAY, 'The backend server failed; it may have run.'
+    )
+    too_late = _Reason(
+        HTTPStatus.GATEWAY_TIMEOUT, 'Its time is over; it may have run.'
     )
-    too_late = _Reason(504, 'Its time is over; it may have run.')
 
 
 class RefusedError(DykemastError):
@@ -56,17 +77,14 @@
         self.details = details or {}
         self.retry_after = retry_after
 
-    def encode(self) -> tuple[list[tuple[bytes, bytes]], bytes]:
+    def encode(self) -> tuple[Headers, bytes]:
         """Make the answer to the caller.
 
         :returns: header fields and body.
         """
         document = {'code': self.code.name, 'message': self.code.value.text}
         body = msgspec.json.encode({'error': document})
-        headers = [
-            (b'content-type', b'application/json'),
-            (b'content-length', b'%d' % len(body)),
-        ]
+        headers = [(b'content-type', b'application/json')]
         if self.retry_after is not None:
             text = f'{self.retry_after:.2f}'
             headers.append((b'retry-after', text.encode()))
--- /dev/null
+++ b/src/dykemast/_internal/serving/reload.py
@@ -0,0 +1,47 @@
+"""Follow changes of the settings file."""
+
+import asyncio
+from typing import Final
+
+from dykemast._internal.exceptions import InvalidFileError
+from dykemast._internal.platform.settings import read_change_time, read_settings
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('settings')
+
+#: Seconds between two looks at the file: it may change without a signal.
+LOOK_PAUSE: Final = 2.0
+
+
+def reload_settings(board: ServingBoard) -> None:
+    """Read the settings again; those before stay if they are not usable.
+
+    Addresses stay as they were opened at the start.
+
+    :param board: the blackboard.
+    """
+    try:
+        settings = read_settings()
+    except InvalidFileError as error:
+        _log('settings_not_usable', reason=str(error))
+        return
+    changed = settings != board.settings
+    board.settings = settings._replace(
+        name=board.settings.name, listeners=board.settings.listeners
+    )
+    _log('settings_reloaded', changed=changed)
+
+
+async def follow_settings(board: ServingBoard) -> None:
+    """Read the settings again when the file changes, for ever.
+
+    :param board: the blackboard.
+    """
+    known = read_change_time()
+    while True:
+        await asyncio.sleep(LOOK_PAUSE)
+        latest = read_change_time()
+        if latest != known:
+            known = latest
+            reload_settings(board)
--- a/src/dykemast/_internal/serving/responder.py
+++ b/src/dykemast/_internal/serving/responder.py
@@ -1,18 +1,26 @@
 """Answers to callers, over ASGI."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Final
 
-from dykemast._internal.serving.refusals import RefusalCode, RefusedError
+from dykemast._internal.exceptions import DykemastError
+from dykemast._internal.serving.refusals import (
+    Headers,
+    RefusalCode,
+    RefusedError,
+)
 
 Receive = Callable[[], Awaitable[Any]]
 Send = Callable[[Any], Awaitable[None]]
-Headers = list[tuple[bytes, bytes]]
 
 _CLOSE: Final = (b'connection', b'close')
 
 
+class AnswerCutError(DykemastError):
+    """An answer cannot be finished: the listener closes its connection."""
+
+
 class Responder:
     """The answer to one request.
 
@@ -40,8 +48,13 @@
     async def refuse(self, error: RefusedError) -> None:
         """Send a refusal.
 
+        An answer that has begun is cut off instead: it must not look whole.
+
         :param error: the refusal.
+        :raises AnswerCutError: when an answer has begun.
         """
+        if self.begun:
+            raise AnswerCutError(str(error)) from error
         headers, body = error.encode()
         await self.answer(error.code.value.status, headers, body)
 
@@ -99,30 +112,29 @@
     return body
 
 
-async def run_until_left(work: Awaitable[None], receive: Receive) -> bool:
+async def run_until_left(
+    work: Coroutine[Any, Any, None],
+    receive: Receive,
+) -> bool:
     """Serve a request; give up at once when its caller leaves.
 
     :param work: serves it.
     :param receive: ASGI's.
     :returns: whether it was served to the end.
     """
-    serving = asyncio.ensure_future(work)
-    leaving = asyncio.ensure_future(_wait_left(receive))
-    try:
-        await asyncio.wait(
-            (serving, leaving), return_when=asyncio.FIRST_COMPLETED
-        )
-        if serving.done():
-            await serving
-            return True
-        return False
-    finally:
-        leaving.cancel()
-        if not serving.done():
-            serving.cancel()
-            await asyncio.wait((serving,))
+    serving = asyncio.create_task(work)
+    leaving = asyncio.create_task(_wait_left(receive))
+    await asyncio.wait((serving, leaving), return_when=asyncio.FIRST_COMPLETED)
+    leaving.cancel()
+    if serving.done():
+        serving.result()
+        return True
+    serving.cancel()
+    await asyncio.wait((serving,))
+    return False
 
 
 async def _wait_left(receive: Receive) -> None:
-    while (await receive())['type'] != 'http.disconnect':
-        continue
+    message = await receive()
+    while message['type'] != 'http.disconnect':
+        message = await receive()
--- /dev/null
+++ b/src/dykemast/_internal/serving/stream_requests.py
@@ -0,0 +1,54 @@
+"""Streamed requests, paid for out of their workspace's budget."""
+
+from dykemast._internal.serving.accounts import Hold
+from dykemast._internal.serving.event_streams import EventStream
+from dykemast._internal.serving.parts import Parts, Ticket
+from dykemast._internal.serving.responder import Responder
+
+
+async def serve_stream(
+    parts: Parts,
+    ticket: Ticket,
+    body: bytes,
+    responder: Responder,
+) -> None:
+    """Serve a request that is answered by a stream of events.
+
+    :param parts: parts of the program.
+    :param ticket: the request.
+    :param body: its body.
+    :param responder: answers the caller.
+    :raises RefusedError: when it is not served whole.
+    """
+    hold = await _hold_tokens(parts, ticket)
+    stream = EventStream(parts, ticket, body, responder)
+    try:
+        await stream.serve()
+    finally:
+        _settle(parts, ticket, hold, stream)
+
+
+async def _hold_tokens(parts: Parts, ticket: Ticket) -> Hold | None:
+    workspace = ticket.workspace
+    if workspace is None or workspace.prepaid is None:
+        return None
+    tokens = ticket.request.prompt_tokens + ticket.request.output_tokens
+    hold = await parts.budgets.hold(workspace, tokens)
+    parts.meters.tokens.add({'state': 'held'}, tokens)
+    return hold
+
+
+def _settle(
+    parts: Parts,
+    ticket: Ticket,
+    hold: Hold | None,
+    stream: EventStream,
+) -> None:
+    if hold:
+        used = stream.count_used()
+        parts.budgets.settle(hold, used)
+        parts.meters.tokens.add({'state': 'consumed'}, used)
+    first_at = stream.relay.first_at
+    if first_at:
+        took = first_at - ticket.started
+        parts.meters.first_byte.observe({'kind': 'stream'}, took)
--- /dev/null
+++ b/src/dykemast/_internal/serving/token_search.py
@@ -0,0 +1,108 @@
+"""Find tokens for requests that this router has too few for."""
+
+import asyncio
+import time
+from collections.abc import Coroutine
+from typing import Any, Final
+
+from dykemast._internal.serving.accounts import Account, Shortage
+from dykemast._internal.serving.board import ServingBoard, list_heard
+from dykemast._internal.serving.gossip import Gossip
+from dykemast._internal.serving.ledger_writer import LedgerWriter, describe
+from dykemast._internal.serving.loans import borrow_tokens
+from dykemast._internal.serving.refusals import RefusalCode, RefusedError
+
+#: Seconds that a request waits for tokens: a quarter of the users' shortest
+#: objective for streams is 0.2 s, after which a refusal counts as late.
+HOLD_PATIENCE: Final = 0.18
+#: Seconds for which a lack of tokens is believed without asking again.
+SHORT_TIME: Final = 0.5
+#: Seconds after which a request refused for lack of tokens may come back:
+#: others end and give back in about 2 s.
+SHORT_RETRY: Final = 2.5
+#: Seconds after which a request refused for lack of the store may come back:
+#: half of a common outage.
+AWAY_RETRY: Final = 4.0
+
+
+class TokenSearch:
+    """Searches, one at a time for each budget.
+
+    :param board: the blackboard.
+    :param writer: writes rows to the store.
+    :param gossip: asks other routers.
+    """
+
+    def __init__(
+        self,
+        board: ServingBoard,
+        writer: LedgerWriter,
+        gossip: Gossip,
+    ) -> None:
+        """Search for nothing yet."""
+        self._board = board
+        self._writer = writer
+        self._gossip = gossip
+
+    async def wait_for_tokens(self, account: Account, tokens: int) -> None:
+        """Set tokens aside as soon as there are enough.
+
+        :param account: the budget.
+        :param tokens: how many.
+        :raises RefusedError: when there are not enough in time.
+        """
+        if account.is_short_of(tokens):
+            raise self._refuse(account, tokens)
+        account.pending += tokens
+        try:
+            found = await self._try_twice(account, tokens)
+        finally:
+            account.pending -= tokens
+        if not found:
+            until = time.monotonic() + SHORT_TIME
+            account.shortage = Shortage(tokens, until)
+            raise self._refuse(account, tokens)
+
+    def start(
+        self,
+        account: Account,
+        work: Coroutine[Any, Any, None],
+    ) -> asyncio.Task[Any]:
+        """Start to work on a budget's row, unless that is under way.
+
+        :param account: the budget.
+        :param work: what to do.
+        :returns: the work under way.
+        """
+        if account.search is None or account.search.done():
+            account.search = asyncio.create_task(work)
+        else:
+            work.close()
+        return account.search
+
+    async def _try_twice(self, account: Account, tokens: int) -> bool:
+        limit = time.monotonic() + HOLD_PATIENCE
+        # The first search may have begun before this request came.
+        for _ in range(2):
+            search = self.start(account, self._search(account))
+            left = limit - time.monotonic()
+            await asyncio.wait((search,), timeout=max(0, left))
+            if account.allowance.take_hold(tokens):
+                return True
+        return False
+
+    async def _search(self, account: Account) -> None:
+        if self._writer.may_try():
+            await self._writer.write(account)
+        if account.pending > account.allowance.count_room():
+            peers = [peer.card for peer in list_heard(self._board)]
+            await borrow_tokens(self._gossip, peers, account)
+
+    def _refuse(self, account: Account, tokens: int) -> RefusedError:
+        details = {'wanted': tokens, **describe(account)}
+        if self._writer.is_away:
+            return RefusedError(RefusalCode.budget_away, details, AWAY_RETRY)
+        unspent = account.ledger.count_unspent() if account.ledger else tokens
+        if unspent < tokens:
+            return RefusedError(RefusalCode.budget_spent, details)
+        return RefusedError(RefusalCode.budget_held, details, SHORT_RETRY)
--- a/src/dykemast/_internal/serving/upstream.py
+++ b/src/dykemast/_internal/serving/upstream.py
@@ -1,6 +1,7 @@
 """Connections to backend servers."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import AsyncIterator
 from typing import Final, NamedTuple
@@ -11,13 +12,11 @@
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.models.caller_request import CallerRequest
+from dykemast._internal.models.deployment import Endpoint
+from dykemast._internal.models.forwarding import AnswerHead, Forwarding
 from dykemast._internal.network.sockets import make_socket
-from dykemast._internal.platform.headers import (
-    AnswerHead,
-    Forwarding,
-    decode_answer,
-    encode_forwarding,
-)
+from dykemast._internal.platform.answer_headers import decode_answer
+from dykemast._internal.platform.request_headers import encode_forwarding
 
 #: Seconds to wait for a connection: links take some milliseconds, and one
 #: that is lost is only tried again by the system after a second.
@@ -31,6 +30,13 @@
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
 )
+#: Fields that the library would add by itself.
+_LIBRARY_FIELDS: Final = (
+    'User-Agent',
+    'Accept',
+    'Accept-Encoding',
+    'Content-Type',
+)
 _OK: Final = 200
 _FIRST_FAILURE: Final = 300
 
@@ -98,14 +104,6 @@
                 raise UpstreamError('the answer is too long.', sent=True)
         return bytes(body)
 
-    def release(self) -> None:
-        """Keep the connection for another request if the body was read."""
-        self.response.release()
-
-    def close(self) -> None:
-        """Close the connection, so that the server stops its work."""
-        self.response.close()
-
 
 class Upstreams:
     """Pooled connections to backend servers."""
@@ -114,64 +112,72 @@
         """Open no connection yet."""
         self._session: aiohttp.ClientSession | None = None
 
-    async def send(self, sending: Sending) -> Answer:
-        """Send a request and wait for the head of the answer.
+    @contextlib.asynccontextmanager
+    async def send(self, sending: Sending) -> AsyncIterator[Answer]:
+        """Send a request; its connection is kept if the answer is whole.
+
+        Else it is closed, so that the server stops its work.
 
         :param sending: what to send.
-        :returns: the answer.
+        :yields: the answer that has begun.
         :raises UpstreamError: when there is none, or not to this request;
             it tells whether the request may have run.
         """
+        response = await self._open(sending)
         try:
-            response = await self._request(sending)
-        except _NO_CONNECTION as error:
-            text = f'no connection: {type(error).__name__}'
-            raise UpstreamError(text, sent=False, unconnected=True) from error
-        except _FAILURES as error:
-            text = f'no answer: {type(error).__name__}'
-            raise UpstreamError(text, sent=True) from error
-        head = decode_answer(response.status, response.headers)
-        problem = _find_problem(sending, head)
-        if problem:
+            yield Answer(_check_head(sending, response), response)
+        except BaseException:
             response.close()
-            raise problem
-        return Answer(head, response)
+            raise
+        response.release()
 
     async def close(self) -> None:
         """Close all connections."""
         if self._session:
             await self._session.close()
 
+    async def _open(self, sending: Sending) -> aiohttp.ClientResponse:
+        try:
+            return await self._request(sending)
+        except _NO_CONNECTION as error:
+            text = f'no connection: {type(error).__name__}'
+            raise UpstreamError(text, sent=False, unconnected=True) from error
+        except _FAILURES as error:
+            text = f'no answer: {type(error).__name__}'
+            raise UpstreamError(text, sent=True) from error
+
     async def _request(self, sending: Sending) -> aiohttp.ClientResponse:
         if self._session is None:
             self._session = _open_session()
-        host, port = sending.server.endpoint
-        url = _make_url(f'http://{host}:{port}{sending.request.target}')
+        request = sending.request
         async with asyncio.timeout(sending.deadline - time.monotonic()):
             return await self._session.request(
-                sending.request.method,
-                url,
+                request.method,
+                _make_url(sending.server.endpoint, request.target),
                 data=sending.body or None,
-                headers=encode_forwarding(sending.request, sending.added),
+                headers=encode_forwarding(request, sending.added),
                 allow_redirects=False,
             )
 
 
-def _find_problem(sending: Sending, head: AnswerHead) -> UpstreamError | None:
+def _check_head(
+    sending: Sending,
+    response: aiohttp.ClientResponse,
+) -> AnswerHead:
+    head = decode_answer(response.status, response.headers)
     if head.request_id != sending.request.request_id:
         # Whatever it says, it does not say it of this request.
-        return UpstreamError('answer to another request', sent=True)
+        raise UpstreamError('answer to another request', sent=True)
     if head.not_run:
-        text = f'not run, status {head.status}'
-        return UpstreamError(text, sent=False)
-    if _OK <= head.status < _FIRST_FAILURE and not head.sealed:
-        return UpstreamError('the answer is not signed', sent=True)
-    return None
+        raise UpstreamError(f'not run, status {head.status}', sent=False)
+    if _OK <= head.status < _FIRST_FAILURE and not head.signed:
+        raise UpstreamError('the answer is not signed', sent=True)
+    return head
 
 
-def _make_url(text: str) -> yarl.URL:
+def _make_url(endpoint: Endpoint, target: str) -> yarl.URL:
     # The path goes on as the caller sent it.
-    return yarl.URL(text, encoded=True)
+    return yarl.URL(f'http://{endpoint}{target}', encoded=True)
 
 
 def _open_session() -> aiohttp.ClientSession:
@@ -184,12 +190,7 @@
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=(
-            'User-Agent',
-            'Accept',
-            'Accept-Encoding',
-            'Content-Type',
-        ),
+        skip_auto_headers=_LIBRARY_FIELDS,
     )
     # The library would repeat a GET by itself on a connection that broke;
     # whether a request may run twice is for this router to say.
--- a/src/dykemast/_internal/utils/events.py
+++ b/src/dykemast/_internal/utils/events.py
@@ -18,6 +18,7 @@
 MAX_RATE: Final = 400.0
 #: Seconds between two writes.
 _FLUSH_PAUSE: Final = 0.05
+_LINE_END: Final = b'\n'
 
 LogEvent = Callable[..., None]
 
@@ -56,7 +57,7 @@
             **self._fields,
             **record.extra,
         }
-        self._lines.append(msgspec.json.encode(line) + b'\n')
+        self._lines.append(_encode_line(line))
 
     async def write_lines(self) -> None:
         """Write lines as they come, for ever."""
@@ -87,7 +88,7 @@
     def _tell_dropped(self) -> bytes:
         line = {'part': 'log', 'event': 'lines_dropped', 'count': self.dropped}
         self.dropped = 0
-        return msgspec.json.encode(line) + b'\n'
+        return _encode_line(line)
 
     def _admit(self) -> bool:
         now = time.monotonic()
@@ -100,6 +101,10 @@
         return True
 
 
+def _encode_line(line: dict[str, Any]) -> bytes:
+    return msgspec.json.encode(line, enc_hook=str) + _LINE_END
+
+
 def make_logger(part: str) -> LogEvent:
     """Make the function with which a part of the program logs.
 
