--- a/src/dykemast/_internal/cli/commands.py
+++ b/src/dykemast/_internal/cli/commands.py
@@ -7,7 +7,7 @@
 
 from dykemast._internal.cli.fleet_commands import Bills, Budget, Status
 from dykemast._internal.cli.file_commands import Check, Policy, Submit
-from dykemast._internal.commands import router, version
+from dykemast._internal.commands import instance, router, version
 
 
 @cappa.command(name='router')
@@ -24,6 +24,16 @@
         router.run_router(self.settings)
 
 
+@cappa.command(name='instance')
+@dataclasses.dataclass
+class Instance:
+    """Run a router with the settings of the users' platform."""
+
+    def __call__(self) -> None:
+        """Run the command."""
+        instance.run_instance()
+
+
 @cappa.command(name='version')
 @dataclasses.dataclass
 class Version:
@@ -49,5 +59,13 @@
     """The program."""
 
     command: cappa.Subcommands[
-        Router | Check | Submit | Status | Budget | Bills | Policy | Version
+        Router
+        | Instance
+        | Check
+        | Submit
+        | Status
+        | Budget
+        | Bills
+        | Policy
+        | Version
     ]
--- a/src/dykemast/_internal/commands/instance.py
+++ b/src/dykemast/_internal/commands/instance.py
@@ -4,7 +4,7 @@
 import secrets
 import signal
 import sys
-from typing import Final
+from typing import Any, Final
 
 from dykemast._internal.exceptions import InvalidFileError
 from dykemast._internal.platform.settings import read_settings
@@ -41,11 +41,7 @@
 
 
 async def _serve(board: ServingBoard, lines: LineHandler) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, board)
+    stop = _catch_signals(board)
     tasks = [
         asyncio.create_task(lines.write_lines()),
         asyncio.create_task(follow_settings(board)),
@@ -56,3 +52,24 @@
     await runtime.stop()
     for task in tasks:
         task.cancel()
+
+
+def _catch_signals(board: ServingBoard) -> asyncio.Event:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, board)
+    loop.set_exception_handler(_log_unexpected)
+    return stop
+
+
+def _log_unexpected(_: object, context: dict[str, Any]) -> None:
+    """Log an error that nobody waits for, in a task or a callback."""
+    error = context.get('exception')
+    if not isinstance(error, asyncio.CancelledError):
+        _log(
+            'unexpected_error',
+            message=context.get('message'),
+            reason=f'{type(error).__name__}: {error}',
+        )
--- a/src/dykemast/_internal/models/budget_ledger.py
+++ b/src/dykemast/_internal/models/budget_ledger.py
@@ -48,10 +48,10 @@
     def count_unused(self) -> int:
         """Count the tokens that are neither consumed nor held, so far known.
 
-        :returns: tokens; negative when the budget was lowered.
+        :returns: tokens, at least 0.
         """
         charged = sum(row.charged for row in self.rows.values())
-        return self.prepaid - self.closed - charged
+        return max(0, self.prepaid - self.closed - charged)
 
     def count_unspent(self) -> int:
         """Count the tokens that are not known to be consumed.
--- a/src/dykemast/_internal/operations/allowance.py
+++ b/src/dykemast/_internal/operations/allowance.py
@@ -6,8 +6,6 @@
 all rows of its own that the store may hold.
 """
 
-from dykemast._internal.operations.allowance_terms import Usage
-
 
 class Allowance:
     """What this router may consume of one budget.
@@ -41,6 +39,8 @@
     def take_hold(self, tokens: int) -> bool:
         """Set tokens aside for a request.
 
+        A request that ends moves them from ``held`` to ``spent``.
+
         :param tokens: what it may consume at the most.
         :returns: whether there were as many.
         """
@@ -49,15 +49,6 @@
         self.held += tokens
         return True
 
-    def settle(self, tokens: int, used: int) -> None:
-        """End a request.
-
-        :param tokens: what was held for it.
-        :param used: what it consumed of that.
-        """
-        self.held -= tokens
-        self.spent += used
-
     def lend(self, tokens: int) -> int:
         """Give spare tokens to another router, for good.
 
@@ -68,13 +59,6 @@
         self.lent += given
         return given
 
-    def tell_usage(self) -> Usage:
-        """Tell what was used so far.
-
-        :returns: what a row written now has to cover.
-        """
-        return Usage(self.spent, max(0, self.count_charged()))
-
     def expect_limit(self, limit: int) -> None:
         """Obey a limit that the store may hold from now on.
 
--- a/src/dykemast/_internal/operations/ledger_rows.py
+++ b/src/dykemast/_internal/operations/ledger_rows.py
@@ -1,7 +1,5 @@
 """Rows of a budget: how much each router may consume."""
 
-from typing import Final
-
 from dykemast._internal.models.budget_ledger import BudgetLedger, LedgerRow
 from dykemast._internal.operations.allowance_terms import (
     Identity,
@@ -9,21 +7,7 @@
     Usage,
     Want,
 )
-
-#: Part of the unused tokens that all routers together may keep spare. What
-#: is spare serves requests in a cut, and is lost when its router dies; this
-#: figure and those below are from trials on days that have both
-#: (docs/design/machines.md).
-SPARE_SHARE: Final = 0.5
-#: Seconds of demand to keep spare at most.
-SPARE_TIME: Final = 4.0
-#: Tokens to keep spare beyond that: a request of the larger kind.
-SPARE_FLOOR: Final = 8000
-#: Part of the mean demand that counts for each router, so that one without
-#: requests so far gets something too.
-DEMAND_FLOOR: Final = 0.1
-#: Tokens a second that count for each router at least.
-MIN_DEMAND: Final = 100
+from dykemast._internal.operations.spare_size import measure_spare
 
 
 def plan_ledger(
@@ -42,28 +26,14 @@
     :param want: what the row should allow beyond its use.
     :returns: the state to write.
     """
-    ledger = _adopt_terms(ledger, terms)
-    ledger = close_rows(ledger, identity)
-    stored = ledger.rows.get(identity.incarnation)
-    before = stored.limit if stored else 0
-    free = max(0, ledger.count_free() + before - usage.charged)
-    granted = min(free, want.pending)
-    charged = usage.charged + granted
-    rows = {
-        **ledger.rows,
-        identity.incarnation: LedgerRow(
-            instance=identity.instance,
-            limit=charged,
-            spent=usage.spent,
-            charged=charged,
-            demand=round(want.demand, 1),
-        ),
-    }
-    planned = ledger._replace(rows=rows)
-    if not want.spare:
-        return planned
-    spare = measure_spare(planned, identity, terms.routers)
-    return _add_spare(planned, identity, min(free - granted, spare))
+    ledger = close_rows(_adopt_terms(ledger, terms), identity)
+    free = _count_free(ledger, identity, usage)
+    row = _make_row(identity, usage, min(free, want.pending), want)
+    planned = _put_row(ledger, identity, row)
+    if want.spare:
+        limit = row.limit + measure_spare(planned, identity, terms.routers)
+        row = row._replace(limit=min(limit, usage.charged + free))
+    return _put_row(ledger, identity, row)
 
 
 def close_rows(ledger: BudgetLedger, identity: Identity) -> BudgetLedger:
@@ -92,38 +62,40 @@
     )
 
 
-def measure_spare(
-    ledger: BudgetLedger,
+def _make_row(
     identity: Identity,
-    routers: int,
-) -> int:
-    """Measure how many tokens one router may keep spare.
+    usage: Usage,
+    granted: int,
+    want: Want,
+) -> LedgerRow:
+    charged = usage.charged + granted
+    return LedgerRow(
+        instance=identity.instance,
+        limit=charged,
+        spent=usage.spent,
+        charged=charged,
+        demand=round(want.demand, 1),
+    )
 
-    Spare tokens go where requests come: those of a workspace often meet one
-    router only.
 
-    :param ledger: the budget, with a row of the router.
-    :param identity: the router.
-    :param routers: routers that share the budget.
-    :returns: tokens.
-    """
-    rows = ledger.rows
-    demand = rows[identity.incarnation].demand
-    total = sum(row.demand for row in rows.values())
-    floor = MIN_DEMAND + DEMAND_FLOOR * total / max(1, routers)
-    share = (demand + floor) / (total + floor * max(routers, len(rows)))
-    most = SPARE_SHARE * max(0, ledger.count_unused()) * share
-    return int(min(SPARE_FLOOR + SPARE_TIME * demand, most))
+def _count_free(
+    ledger: BudgetLedger,
+    identity: Identity,
+    usage: Usage,
+) -> int:
+    """Count the tokens that a router's row may have beyond its use."""
+    stored = ledger.rows.get(identity.incarnation)
+    before = stored.limit if stored else 0
+    return max(0, ledger.count_free() + before - usage.charged)
 
 
-def _add_spare(
+def _put_row(
     ledger: BudgetLedger,
     identity: Identity,
-    spare: int,
+    row: LedgerRow,
 ) -> BudgetLedger:
-    row = ledger.rows[identity.incarnation]
-    row = row._replace(limit=row.limit + spare)
-    return ledger._replace(rows={**ledger.rows, identity.incarnation: row})
+    rows = {**ledger.rows, identity.incarnation: row}
+    return ledger._replace(rows=rows)
 
 
 def _adopt_terms(ledger: BudgetLedger | None, terms: Terms) -> BudgetLedger:
--- /dev/null
+++ b/src/dykemast/_internal/operations/spare_size.py
@@ -0,0 +1,54 @@
+"""How many tokens of a budget a router keeps spare."""
+
+from typing import Final
+
+from dykemast._internal.models.budget_ledger import BudgetLedger
+from dykemast._internal.operations.allowance_terms import Identity
+
+#: Part of the unused tokens that all routers together may keep spare. What
+#: is spare serves requests in a cut, and is lost when its router dies; this
+#: figure and those below are from trials on days that have both
+#: (docs/design/machines.md).
+SPARE_SHARE: Final = 0.5
+#: Seconds of demand to keep spare at most.
+SPARE_TIME: Final = 4.0
+#: Tokens to keep spare beyond that: a request of the larger kind.
+SPARE_FLOOR: Final = 8000
+#: Part of the mean demand that counts for each router, so that one without
+#: requests so far gets something too.
+DEMAND_FLOOR: Final = 0.1
+#: Tokens a second that count for each router at least.
+MIN_DEMAND: Final = 100
+
+
+def measure_spare(
+    ledger: BudgetLedger,
+    identity: Identity,
+    routers: int,
+) -> int:
+    """Measure how many tokens one router may keep spare.
+
+    Spare tokens go where requests come: those of a workspace often meet one
+    router only.
+
+    :param ledger: the budget, with a row of the router.
+    :param identity: the router.
+    :param routers: routers that share the budget.
+    :returns: tokens.
+    """
+    demand = ledger.rows[identity.incarnation].demand
+    wanted = SPARE_FLOOR + SPARE_TIME * demand
+    share = _measure_share(ledger, demand, routers)
+    return int(min(wanted, SPARE_SHARE * share * ledger.count_unused()))
+
+
+def _measure_share(
+    ledger: BudgetLedger,
+    demand: float,
+    routers: int,
+) -> float:
+    """Measure a router's part of the demand, from 0 to 1."""
+    total = sum(row.demand for row in ledger.rows.values())
+    floor = MIN_DEMAND + DEMAND_FLOOR * total / max(1, routers)
+    sharing = max(routers, len(ledger.rows))
+    return (demand + floor) / (total + floor * sharing)
--- a/src/dykemast/_internal/platform/objects.py
+++ b/src/dykemast/_internal/platform/objects.py
@@ -35,17 +35,16 @@
         :returns: the objects, and a revision not newer than any of them.
         :raises PlatformError: when it failed.
         """
-        found: list[StoreObject] = []
         path = f'/objects/{kind}'
-        page = store_codec.decode(await self._call('GET', path))
-        revision = page['storeRevision']
-        while True:
-            found += [store_codec.decode_object(one) for one in page['items']]
-            if not page.get('morePages'):
-                return Listing(found, revision)
+        page = store_codec.decode_page(await self._call('GET', path))
+        listing = page.listing
+        while page.more:
             # This field takes the name to continue after, not a revision.
-            after = f'{path}?afterRevision={found[-1].name}'
-            page = store_codec.decode(await self._call('GET', after))
+            last = listing.found[-1].name
+            answer = await self._call('GET', f'{path}?afterRevision={last}')
+            page = store_codec.decode_page(answer)
+            listing.found.extend(page.listing.found)
+        return listing
 
     async def read(self, kind: str, name: str) -> StoreObject:
         """Read an object.
--- a/src/dykemast/_internal/platform/request_headers.py
+++ b/src/dykemast/_internal/platform/request_headers.py
@@ -2,9 +2,14 @@
 
 from typing import Any, Final
 
-from dykemast._internal.models.caller_request import CallerRequest, PromptPart
+from dykemast._internal.models.caller_request import CallerRequest
 from dykemast._internal.models.forwarding import Forwarding
 from dykemast._internal.platform import names
+from dykemast._internal.platform.prompt_headers import (
+    decode_patience,
+    decode_prompt,
+    decode_tokens,
+)
 
 _ENCODING: Final = 'latin-1'
 _MS: Final = 1000.0
@@ -37,7 +42,7 @@
         for name, text in scope['headers']
     ]
     fields = dict(pairs)
-    prompt_tokens, output_tokens = _decode_tokens(fields.get(names.TOKENS))
+    tokens = decode_tokens(fields.get(names.TOKENS))
     return CallerRequest(
         request_id=fields.get(names.ATTEMPT_ID, ''),
         method=scope['method'],
@@ -45,11 +50,11 @@
         path=scope['path'],
         target=_decode_target(scope),
         key=_decode_key(fields.get(names.AUTHORIZATION, '')),
-        patience=_decode_patience(fields.get(names.DEADLINE)),
+        patience=decode_patience(fields.get(names.DEADLINE)),
         headers=_choose_passed_on(pairs, fields.get('connection', '')),
-        prompt_tokens=prompt_tokens,
-        output_tokens=output_tokens,
-        prompt=_decode_prompt(fields.get(names.PROMPT)),
+        prompt_tokens=tokens.prompt,
+        output_tokens=tokens.output,
+        prompt=decode_prompt(fields.get(names.PROMPT)),
         after_event=fields.get(names.LAST_EVENT, ''),
     )
 
@@ -95,21 +100,3 @@
     if text.lower().startswith(names.KEY_SCHEME):
         return text[len(names.KEY_SCHEME) :].strip()
     return ''
-
-
-def _decode_patience(text: str | None) -> float | None:
-    return None if text is None else int(text) / _MS
-
-
-def _decode_tokens(text: str | None) -> tuple[int, int]:
-    if not text:
-        return 0, 0
-    prompt, _, output = text.partition(',')
-    return int(prompt), int(output)
-
-
-def _decode_prompt(text: str | None) -> tuple[PromptPart, ...]:
-    if not text:
-        return ()
-    parts = (part.partition(':') for part in text.split(','))
-    return tuple(PromptPart(part[0], int(part[2])) for part in parts)
--- a/src/dykemast/_internal/platform/servers.py
+++ b/src/dykemast/_internal/platform/servers.py
@@ -4,7 +4,7 @@
 
 from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.platform.store_types import StoreObject
-from dykemast._internal.platform.settings import decode_endpoint
+from dykemast._internal.platform.endpoints import decode_endpoint
 
 #: Kind of these objects.
 SERVER_KIND: Final = 'servers'
--- a/src/dykemast/_internal/platform/settings.py
+++ b/src/dykemast/_internal/platform/settings.py
@@ -2,8 +2,7 @@
 
 import os
 import tomllib
-from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 from dykemast._internal.exceptions import Finding, InvalidFileError
 from dykemast._internal.models.deployment import (
@@ -12,6 +11,8 @@
     InstanceSettings,
     Listeners,
 )
+from dykemast._internal.platform.endpoints import decode_endpoint
+from dykemast._internal.platform.settings_reader import SettingsReader
 
 #: Environment variable that names the settings file.
 PATH_VARIABLE: Final = 'DYKEMAST_SETTINGS'
@@ -21,31 +22,6 @@
 _FILE_DESCRIPTORS: Final = 200
 
 
-class _Reader:
-    """Reads fields of the file and collects findings."""
-
-    def __init__(self, path: str, document: dict[str, Any]) -> None:
-        self.path = path
-        self.findings: list[Finding] = []
-        self._document = document
-
-    def read(self, field: str, convert: Callable[[Any], Any]) -> Any:
-        found: Any = self._document
-        for part in field.split('.'):
-            found = found.get(part) if isinstance(found, dict) else None
-        if found is None:
-            self._add(field, 'missing.')
-            return None
-        try:
-            return convert(found)
-        except (TypeError, ValueError, IndexError) as error:
-            self._add(field, f'not usable: {error}.')
-        return None
-
-    def _add(self, field: str, text: str) -> None:
-        self.findings.append(Finding(self.path, 0, field, text))
-
-
 def read_settings() -> InstanceSettings:
     """Read the settings of this process.
 
@@ -61,7 +37,7 @@
             document = tomllib.load(source)
     except (OSError, tomllib.TOMLDecodeError) as error:
         raise InvalidFileError([Finding(path, 0, '', str(error))]) from error
-    return _decode_settings(_Reader(path, document))
+    return _decode_settings(SettingsReader(path, document))
 
 
 def read_change_time() -> float:
@@ -76,7 +52,7 @@
         return 0
 
 
-def _decode_settings(reader: _Reader) -> InstanceSettings:
+def _decode_settings(reader: SettingsReader) -> InstanceSettings:
     settings = InstanceSettings(
         name=reader.read('nodeName', str),
         hall=reader.read('zone', str),
@@ -90,7 +66,7 @@
     return settings
 
 
-def _decode_listeners(reader: _Reader) -> Listeners:
+def _decode_listeners(reader: SettingsReader) -> Listeners:
     host = reader.read('ip', str)
     first_port = reader.read('portRange', lambda ports: int(ports[0]))
     return Listeners(
@@ -103,7 +79,7 @@
     )
 
 
-def _decode_bounds(reader: _Reader) -> Bounds:
+def _decode_bounds(reader: SettingsReader) -> Bounds:
     return Bounds(
         stop_timeout=reader.read('bounds.graceS', float),
         retry_ratio=reader.read('bounds.retryBudgetRatio', float),
@@ -113,18 +89,5 @@
     )
 
 
-def decode_endpoint(text: str) -> Endpoint:
-    """Decode ``IP:PORT``.
-
-    :param text: the address.
-    :returns: the endpoint.
-    :raises ValueError: when it is none.
-    """
-    host, _, port = text.rpartition(':')
-    if not host:
-        raise ValueError(f'{text!r} is not IP:PORT')
-    return Endpoint(host, int(port))
-
-
 def _count_connections(descriptors: int) -> int:
     return int(descriptors) - _FILE_DESCRIPTORS
--- a/src/dykemast/_internal/platform/store_codec.py
+++ b/src/dykemast/_internal/platform/store_codec.py
@@ -13,6 +13,8 @@
 from dykemast._internal.platform.store_types import (
     Changes,
     Event,
+    Listing,
+    Page,
     StoreObject,
 )
 
@@ -45,11 +47,11 @@
     """
     try:
         metadata = fields['metadata']
-        return StoreObject(
-            metadata['name'], metadata['revision'], fields.get('spec')
-        )
     except (KeyError, TypeError) as error:
         raise PlatformError(f'not an object: {error}') from error
+    return StoreObject(
+        metadata['name'], metadata['revision'], fields.get('spec')
+    )
 
 
 def decode_written(answer: Answer) -> StoreObject:
@@ -62,10 +64,25 @@
     """
     if answer.status == _CONFLICT:
         text = 'the object has another revision.'
-        raise VersionConflictError(text, _find_object(answer.body))
+        fields = _decode_json(answer.body) if answer.body else {}
+        current = decode_object(fields) if 'metadata' in fields else None
+        raise VersionConflictError(text, current)
     return decode_object(decode(answer))
 
 
+def decode_page(answer: Answer) -> Page:
+    """Read one page of a listing.
+
+    :param answer: the answer.
+    :returns: the page.
+    :raises PlatformError: when the call failed.
+    """
+    fields = decode(answer)
+    found = [decode_object(one) for one in fields['items']]
+    listing = Listing(found, fields['storeRevision'])
+    return Page(listing, bool(fields.get('morePages')))
+
+
 def decode_changes(answer: Answer) -> Changes:
     """Read the answer to a watch.
 
@@ -94,13 +111,6 @@
     return _decode_json(answer.body)
 
 
-def _find_object(body: bytes) -> StoreObject | None:
-    fields = _decode_json(body) if body else None
-    if isinstance(fields, dict) and 'metadata' in fields:
-        return decode_object(fields)
-    return None
-
-
 def _decode_json(body: bytes) -> Any:
     try:
         return msgspec.json.decode(body)
--- a/src/dykemast/_internal/platform/store_types.py
+++ b/src/dykemast/_internal/platform/store_types.py
@@ -27,6 +27,17 @@
     revision: int
 
 
+class Page(NamedTuple):
+    """A page of a listing.
+
+    :param listing: what is on it.
+    :param more: whether another page follows.
+    """
+
+    listing: Listing
+    more: bool
+
+
 class Event(NamedTuple):
     """A change of an object.
 
--- a/src/dykemast/_internal/serving/accounts.py
+++ b/src/dykemast/_internal/serving/accounts.py
@@ -2,45 +2,28 @@
 
 import asyncio
 import dataclasses
-import math
 import time
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 import msgspec
 
 from dykemast._internal.models.budget_ledger import BudgetLedger
-from dykemast._internal.operations import ledger_rows
+from dykemast._internal.operations import ledger_rows, spare_size
 from dykemast._internal.operations.allowance import Allowance
-from dykemast._internal.operations.allowance_terms import Identity, Terms, Want
+from dykemast._internal.operations.allowance_terms import (
+    Identity,
+    Terms,
+    Usage,
+    Want,
+)
 from dykemast._internal.operations.demand import Demand
 from dykemast._internal.platform.store_types import StoreObject
+from dykemast._internal.serving.holds import NEVER, Shortage
 
 #: Kind of the objects that hold the budgets.
 BUDGET_KIND: Final = 'dykemast-budgets'
 
 
-class Hold(NamedTuple):
-    """Tokens that are set aside for one request.
-
-    :param workspace: whose budget they are of.
-    :param tokens: how many.
-    """
-
-    workspace: str
-    tokens: int
-
-
-class Shortage(NamedTuple):
-    """A hold that was refused.
-
-    :param tokens: how many were wanted.
-    :param until: seconds on the steady clock until which this is believed.
-    """
-
-    tokens: int = 0
-    until: float = -math.inf
-
-
 @dataclasses.dataclass
 class Account:
     """One workspace's budget, as this router knows it.
@@ -67,7 +50,7 @@
     shortage: Shortage = Shortage()
     stored: StoreObject | None = None
     ledger: BudgetLedger | None = None
-    written_at: float = -math.inf
+    written_at: float = NEVER
 
     def is_short_of(self, tokens: int) -> bool:
         """Tell whether there were too few tokens a moment ago.
@@ -79,6 +62,13 @@
             return False
         return tokens >= self.shortage.tokens
 
+    def end_waiting(self, tokens: int) -> None:
+        """Note that a request waits no more.
+
+        :param tokens: how many it waited for.
+        """
+        self.pending -= tokens
+
     def see(self, stored: StoreObject | None) -> None:
         """Take note of the object as it is in the store.
 
@@ -100,7 +90,7 @@
         planned = ledger_rows.plan_ledger(
             self.ledger,
             self.identity,
-            self.allowance.tell_usage(),
+            Usage(self.allowance.spent, max(0, self.allowance.count_charged())),
             terms,
             Want(self.pending, demand, spare),
         )
@@ -130,7 +120,7 @@
         ledger = self.ledger
         if ledger is None or self.identity.incarnation not in ledger.rows:
             return 0
-        return ledger_rows.measure_spare(ledger, self.identity, routers)
+        return spare_size.measure_spare(ledger, self.identity, routers)
 
 
 def _decode_ledger(stored: StoreObject) -> BudgetLedger | None:
--- a/src/dykemast/_internal/serving/admission.py
+++ b/src/dykemast/_internal/serving/admission.py
@@ -13,7 +13,7 @@
 )
 from dykemast._internal.platform.request_headers import decode_request
 from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.parts import Ticket
+from dykemast._internal.serving.ticket import Ticket
 from dykemast._internal.serving.refusals import RefusalCode, RefusedError
 
 #: Seconds after which a caller may come back when no configuration is known:
--- a/src/dykemast/_internal/serving/application.py
+++ b/src/dykemast/_internal/serving/application.py
@@ -7,13 +7,9 @@
 from dykemast._internal.models.routing_table import RouteKind
 from dykemast._internal.platform.request_headers import find_request_id
 from dykemast._internal.serving.admission import admit
-from dykemast._internal.serving.parts import Parts, Ticket
-from dykemast._internal.serving.plain_calls import serve_plain
-from dykemast._internal.serving.records import (
-    log_admitted,
-    note_end,
-    note_refusal,
-)
+from dykemast._internal.serving import plain_calls, records, stream_requests
+from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.ticket import Ticket
 from dykemast._internal.serving.refusals import RefusedError
 from dykemast._internal.serving.responder import (
     Receive,
@@ -22,10 +18,6 @@
     read_body,
     run_until_left,
 )
-from dykemast._internal.serving.stream_requests import serve_stream
-from dykemast._internal.utils.events import make_logger
-
-_log = make_logger('request')
 
 Application = Callable[[Any, Receive, Send], Awaitable[None]]
 
@@ -47,10 +39,10 @@
         try:
             await _serve(parts, scope, receive, responder)
         except RefusedError as error:
-            note_refusal(parts, error, find_request_id(scope), started)
+            records.note_refusal(parts, error, find_request_id(scope), started)
             await responder.refuse(error)
         except ConnectionError as error:
-            _log('caller_left', reason=str(error))
+            records.log_left(find_request_id(scope), error)
         finally:
             parts.board.inflight -= 1
 
@@ -63,14 +55,16 @@
     receive: Receive,
     responder: Responder,
 ) -> None:
-    table = parts.board.table
-    limit = table.limits.body_bytes if table else DEFAULT_BODY_LIMIT
-    body = await read_body(receive, limit)
+    body = await read_body(receive, _limit_body(parts))
     ticket = admit(parts.board, scope)
-    log_admitted(ticket)
-    work = _run(parts, ticket, body, responder)
-    served = await run_until_left(work, receive)
-    note_end(parts, ticket, 'served' if served else 'caller_left')
+    records.log_admitted(ticket)
+    served = await run_until_left(_run(parts, ticket, body, responder), receive)
+    records.note_end(parts, ticket, 'served' if served else 'caller_left')
+
+
+def _limit_body(parts: Parts) -> int:
+    table = parts.board.table
+    return table.limits.body_bytes if table else DEFAULT_BODY_LIMIT
 
 
 async def _run(
@@ -80,6 +74,6 @@
     responder: Responder,
 ) -> None:
     if ticket.route.kind is RouteKind.stream:
-        await serve_stream(parts, ticket, body, responder)
+        await stream_requests.serve_stream(parts, ticket, body, responder)
     else:
-        await serve_plain(parts, ticket, body, responder)
+        await plain_calls.serve_plain(parts, ticket, body, responder)
--- a/src/dykemast/_internal/serving/assembly.py
+++ b/src/dykemast/_internal/serving/assembly.py
@@ -4,19 +4,14 @@
 
 from dykemast._internal.network.platform_session import PlatformSession
 from dykemast._internal.operations.allowance_terms import Identity
-from dykemast._internal.operations.server_trust import ServerTrust
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.budget_upkeep import Upkeep
 from dykemast._internal.serving.budgets import Budgets
-from dykemast._internal.serving.gossip import Gossip
-from dykemast._internal.serving.ledger_writer import LedgerWriter
 from dykemast._internal.serving.loads import make_loads
-from dykemast._internal.serving.meters import make_meters
-from dykemast._internal.serving.parts import Parts
-from dykemast._internal.serving.peer_news import NewsDesk
-from dykemast._internal.serving.token_search import TokenSearch
-from dykemast._internal.serving.upstream import Upstreams
+from dykemast._internal.serving.old_rows import Upkeep
+from dykemast._internal.serving.parts import Parts, make_parts
+from dykemast._internal.serving.peer_links import PeerLinks, link_peers
+from dykemast._internal.serving.token_sources import open_sources
 
 
 class Assembly(NamedTuple):
@@ -24,18 +19,12 @@
 
     :param parts: those that requests need.
     :param upkeep: those that budgets need.
-    :param session: transport to the object store.
-    :param store: the object store.
-    :param desk: news of this router.
-    :param gossip: exchange of news.
+    :param links: those that other routers need.
     """
 
     parts: Parts
     upkeep: Upkeep
-    session: PlatformSession
-    store: ObjectStore
-    desk: NewsDesk
-    gossip: Gossip
+    links: PeerLinks
 
 
 def assemble(board: ServingBoard) -> Assembly:
@@ -44,23 +33,20 @@
     :param board: the blackboard.
     :returns: the parts.
     """
-    session = PlatformSession(f'http://{board.settings.store}')
-    store = ObjectStore(session)
+    endpoint = board.settings.store
+    store = ObjectStore(PlatformSession(f'http://{endpoint}'))
     loads = make_loads()
-    desk = NewsDesk(board, loads)
-    gossip = Gossip(board, desk)
-    writer = LedgerWriter(board, store)
-    search = TokenSearch(board, writer, gossip)
+    links = link_peers(board, loads)
+    upkeep = _make_upkeep(board, store, links)
+    return Assembly(make_parts(board, upkeep.budgets, loads), upkeep, links)
+
+
+def _make_upkeep(
+    board: ServingBoard,
+    store: ObjectStore,
+    links: PeerLinks,
+) -> Upkeep:
+    sources = open_sources(board, store, links.gossip)
     identity = Identity(board.settings.name, board.incarnation)
-    budgets = Budgets(identity, search)
-    parts = Parts(
-        board=board,
-        budgets=budgets,
-        loads=loads,
-        trust=ServerTrust(),
-        retries={},
-        upstreams=Upstreams(),
-        meters=make_meters(),
-    )
-    upkeep = Upkeep(board, store, budgets, writer, search)
-    return Assembly(parts, upkeep, session, store, desk, gossip)
+    budgets = Budgets(identity, sources.search)
+    return Upkeep(board, store, budgets, sources.writer, sources.search)
--- a/src/dykemast/_internal/serving/attempts.py
+++ b/src/dykemast/_internal/serving/attempts.py
@@ -6,11 +6,11 @@
 
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.models.backend import BackendServer
-from dykemast._internal.models.routing_table import RouteKind
-from dykemast._internal.operations.retry_allowance import RetryAllowance
 from dykemast._internal.serving.choices import choose_server
 from dykemast._internal.serving.loads import measure_load
-from dykemast._internal.serving.parts import Parts, Ticket
+from dykemast._internal.serving.outcomes import note_outcome, open_allowance
+from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.ticket import Ticket
 from dykemast._internal.serving.refusals import RefusalCode, RefusedError
 from dykemast._internal.utils.events import make_logger
 
@@ -47,23 +47,33 @@
         """
         allowance = open_allowance(self._parts, self._ticket.service.name)
         allowance.note_request(time.monotonic())
-        failure: UpstreamError | None = None
-        while True:
-            server = choose_server(self._parts, self._ticket, self.tried)
-            if server is None:
+        failure = await self._try(deliver, None)
+        while failure:
+            if not self._may_retry(failure):
                 raise self._refuse(failure)
-            self.tried.append(server.name)
-            _log_send(self._parts, self._ticket, server, len(self.tried))
-            try:
-                await deliver(server)
-            except UpstreamError as error:
-                failure = error
-                self._note_failure(server, error)
-                if not self._may_retry(error):
-                    raise self._refuse(error) from error
-            else:
-                note_outcome(self._parts, server, failed=False)
-                return
+            failure = await self._try(deliver, failure)
+
+    async def _try(
+        self,
+        deliver: Deliver,
+        before: UpstreamError | None,
+    ) -> UpstreamError | None:
+        """Send once.
+
+        :returns: how it failed, or nothing.
+        """
+        server = choose_server(self._parts, self._ticket, self.tried)
+        if server is None:
+            raise self._refuse(before)
+        self.tried.append(server.name)
+        _log_send(self._parts, self._ticket, server, len(self.tried))
+        try:
+            await deliver(server)
+        except UpstreamError as error:
+            self._note_failure(server, error)
+            return error
+        note_outcome(self._parts, server, failed=False)
+        return None
 
     def _note_failure(
         self,
@@ -84,7 +94,7 @@
         ticket = self._ticket
         if ticket.deadline - time.monotonic() < MIN_TIME_LEFT:
             return False
-        if error.sent and not is_repeatable(ticket):
+        if error.sent and not ticket.is_repeatable():
             return False
         sends = len(self.tried)
         if sends >= ticket.route.max_workers and not error.unconnected:
@@ -102,45 +112,6 @@
         return RefusedError(RefusalCode.upstream_failed, details)
 
 
-def open_allowance(parts: Parts, service: str) -> RetryAllowance:
-    """Find the allowance for second sends to a service, or open it.
-
-    :param parts: parts of the program.
-    :param service: the service.
-    :returns: its allowance.
-    """
-    allowance = parts.retries.get(service)
-    if allowance is None:
-        bounds = parts.board.settings.bounds
-        allowance = RetryAllowance(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
-        )
-        parts.retries[service] = allowance
-    return allowance
-
-
-def note_outcome(parts: Parts, server: BackendServer, *, failed: bool) -> None:
-    """Take note of how a backend server did.
-
-    :param parts: parts of the program.
-    :param server: the server.
-    :param failed: whether it failed.
-    """
-    parts.trust.note_outcome(server.name, time.monotonic(), failed=failed)
-    outcome = 'failed' if failed else 'done'
-    parts.meters.sends.inc({'service': server.service, 'outcome': outcome})
-
-
-def is_repeatable(ticket: Ticket) -> bool:
-    """Tell whether a request may run more than once.
-
-    :param ticket: the request.
-    :returns: whether it may.
-    """
-    route = ticket.route
-    return route.kind is RouteKind.safe or route.resumable
-
-
 def _log_send(
     parts: Parts,
     ticket: Ticket,
--- a/src/dykemast/_internal/serving/board.py
+++ b/src/dykemast/_internal/serving/board.py
@@ -102,6 +102,18 @@
     return time.monotonic() - peer.heard_at > SILENCE
 
 
+def note_silent(peer: Peer) -> bool:
+    """Take note that a peer does not answer.
+
+    :param peer: the peer.
+    :returns: whether that is new.
+    """
+    if not peer.heard_at or is_silent(peer):
+        return False
+    peer.heard_at = time.monotonic() - SILENCE
+    return True
+
+
 def list_heard(board: ServingBoard) -> Iterator[Peer]:
     """List the peers that were heard of lately.
 
--- a/src/dykemast/_internal/serving/budget_upkeep.py
+++ b/src/dykemast/_internal/serving/budget_upkeep.py
@@ -2,22 +2,11 @@
 
 import asyncio
 import time
-from typing import Final, NamedTuple
-
-from dykemast._internal.exceptions import PlatformError
-from dykemast._internal.platform.objects import ObjectStore
-from dykemast._internal.serving.accounts import (
-    BUDGET_KIND,
-    Account,
-    Shortage,
-)
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.budgets import Budgets
-from dykemast._internal.serving.ledger_writer import LedgerWriter
-from dykemast._internal.serving.token_search import TokenSearch
-from dykemast._internal.utils.events import make_logger
-
-_log = make_logger('budgets')
+from typing import Final
+
+from dykemast._internal.serving.accounts import Account
+from dykemast._internal.serving.holds import Shortage
+from dykemast._internal.serving.old_rows import Upkeep, close_old_rows
 
 #: Seconds between two looks at the rows.
 REVIEW_PAUSE: Final = 0.5
@@ -31,23 +20,6 @@
 MIN_CHANGE: Final = 4000
 
 
-class Upkeep(NamedTuple):
-    """What the upkeep of budgets needs.
-
-    :param board: the blackboard.
-    :param store: the object store.
-    :param budgets: the accounts.
-    :param writer: writes rows.
-    :param search: knows which rows are being written.
-    """
-
-    board: ServingBoard
-    store: ObjectStore
-    budgets: Budgets
-    writer: LedgerWriter
-    search: TokenSearch
-
-
 async def follow_table(upkeep: Upkeep) -> None:
     """Obey each new configuration at once, for ever.
 
@@ -65,7 +37,7 @@
 
     :param upkeep: what it needs.
     """
-    await _close_rows(upkeep)
+    await close_old_rows(upkeep)
     while True:
         await asyncio.sleep(REVIEW_PAUSE)
         routers = 1 + len(upkeep.board.peers)
@@ -85,22 +57,6 @@
             await upkeep.writer.write(account, spare=False)
 
 
-async def _close_rows(upkeep: Upkeep) -> None:
-    """Close the rows of the process before on this instance."""
-    try:
-        listing = await upkeep.store.list_kind(BUDGET_KIND)
-    except PlatformError as error:
-        # Each is closed when it is next written.
-        _log('rows_not_closed', reason=str(error))
-        return
-    for stored in listing.found:
-        account = upkeep.budgets.open_account(stored.name)
-        account.see(stored)
-        rows = account.ledger.rows.values() if account.ledger else ()
-        if upkeep.board.settings.name in {row.instance for row in rows}:
-            upkeep.search.start(account, upkeep.writer.write(account))
-
-
 def _obey_table(upkeep: Upkeep, account: Account) -> None:
     account.shortage = Shortage()
     terms = upkeep.writer.read_terms(account.workspace)
--- a/src/dykemast/_internal/serving/budgets.py
+++ b/src/dykemast/_internal/serving/budgets.py
@@ -4,7 +4,8 @@
 
 from dykemast._internal.models.routing_table import Workspace
 from dykemast._internal.operations.allowance_terms import Identity
-from dykemast._internal.serving.accounts import Account, Hold
+from dykemast._internal.serving.accounts import Account
+from dykemast._internal.serving.holds import Hold
 from dykemast._internal.serving.token_search import TokenSearch
 
 
@@ -54,7 +55,8 @@
         :param used: tokens consumed.
         """
         account = self.accounts[hold.workspace]
-        account.allowance.settle(hold.tokens, min(used, hold.tokens))
+        account.allowance.held -= hold.tokens
+        account.allowance.spent += min(used, hold.tokens)
 
     async def lend(self, workspace: str, tokens: int) -> int:
         """Give spare tokens to another router.
--- a/src/dykemast/_internal/serving/choices.py
+++ b/src/dykemast/_internal/serving/choices.py
@@ -13,7 +13,8 @@
 )
 from dykemast._internal.serving.backends import list_usable
 from dykemast._internal.serving.loads import measure_load
-from dykemast._internal.serving.parts import Parts, Ticket
+from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.ticket import Ticket
 
 
 def choose_server(
--- a/src/dykemast/_internal/serving/configuration.py
+++ b/src/dykemast/_internal/serving/configuration.py
@@ -9,7 +9,7 @@
 )
 from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.followers import Follower
+from dykemast._internal.serving.follower import Follower
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('configuration')
--- a/src/dykemast/_internal/serving/event_streams.py
+++ b/src/dykemast/_internal/serving/event_streams.py
@@ -5,14 +5,14 @@
 
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.models.backend import BackendServer
-from dykemast._internal.models.forwarding import Forwarding
-from dykemast._internal.operations.priorities import choose_priority
 from dykemast._internal.serving.attempts import Attempts
 from dykemast._internal.serving.choices import count_missing
 from dykemast._internal.serving.event_relay import EventRelay
-from dykemast._internal.serving.parts import Parts, Ticket
+from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.ticket import Ticket
 from dykemast._internal.serving.responder import Responder
-from dykemast._internal.serving.upstream import Answer, Sending
+from dykemast._internal.serving.sending import make_sending
+from dykemast._internal.serving.upstream_answer import Answer
 
 #: Events that an engine may have made and not delivered when its stream
 #: breaks; they are charged.
@@ -84,9 +84,10 @@
             self._parts.loads.own.end(server.name)
 
     async def _send(self, server: BackendServer, reading: '_Reading') -> None:
-        sending = self._make_sending(server)
+        sending = make_sending(self._ticket, self._body, server)
+        sending = sending.resume_after(self.relay.last_event)
         async with self._parts.upstreams.send(sending) as answer:
-            self._note_prompt(server)
+            _note_prompt(self._parts, self._ticket, server)
             if answer.head.status >= _FIRST_FAILURE:
                 await self._pass_failure(answer)
                 return
@@ -100,28 +101,15 @@
         whole = await answer.read_whole(self._ticket.deadline)
         await self.relay.pass_failure(answer.head, whole)
 
-    def _make_sending(self, server: BackendServer) -> Sending:
-        ticket = self._ticket
-        workspace = ticket.workspace
-        added = Forwarding(
-            server=server.name,
-            workspace=workspace.name if workspace else '',
-            seconds=ticket.deadline - time.monotonic(),
-            priority=choose_priority(workspace, ticket.route),
-            after_event=self.relay.last_event,
-        )
-        return Sending(
-            server, ticket.request, self._body, added, ticket.deadline
-        )
-
-    def _note_prompt(self, server: BackendServer) -> None:
-        engine = self._ticket.service.engine
-        self._parts.loads.caches.note_sent(
-            server.name,
-            self._ticket.request.prompt,
-            engine.memory if engine else 0,
-            time.monotonic(),
-        )
+
+def _note_prompt(parts: Parts, ticket: Ticket, server: BackendServer) -> None:
+    engine = ticket.service.engine
+    parts.loads.caches.note_sent(
+        server.name,
+        ticket.request.prompt,
+        engine.memory if engine else 0,
+        time.monotonic(),
+    )
 
 
 class _Reading:
--- /dev/null
+++ b/src/dykemast/_internal/serving/follower.py
@@ -0,0 +1,66 @@
+"""What is done with the objects of one kind."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from dykemast._internal.platform.store_types import (
+    Changes,
+    Listing,
+    StoreObject,
+)
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('store')
+
+
+class Follower(NamedTuple):
+    """What to do with objects of a kind.
+
+    :param kind: the kind.
+    :param take_object: called for each object that is new or changed.
+    :param take_names: called with the names of all objects after a listing.
+    :param drop_object: called with the name of an object that is gone.
+    """
+
+    kind: str
+    take_object: Callable[[StoreObject], None]
+    take_names: Callable[[set[str]], None]
+    drop_object: Callable[[str], None]
+
+
+def take_listing(follower: Follower, listing: Listing) -> None:
+    """Take what a listing shows.
+
+    :param follower: what to do with the objects.
+    :param listing: all objects of its kind.
+    """
+    for stored in listing.found:
+        _take(follower, stored)
+    follower.take_names({one.name for one in listing.found})
+
+
+def take_changes(follower: Follower, changes: Changes) -> None:
+    """Take what a watch tells.
+
+    :param follower: what to do with the objects.
+    :param changes: changes of its kind.
+    """
+    for event in changes.events:
+        if event.removed:
+            follower.drop_object(event.changed.name)
+        else:
+            _take(follower, event.changed)
+
+
+def _take(follower: Follower, stored: StoreObject) -> None:
+    try:
+        follower.take_object(stored)
+    except (KeyError, TypeError, ValueError) as error:
+        # The state before stays in force.
+        _log(
+            'object_not_usable',
+            kind=follower.kind,
+            name=stored.name,
+            revision=stored.revision,
+            reason=f'{type(error).__name__}: {error}',
+        )
--- a/src/dykemast/_internal/serving/followers.py
+++ b/src/dykemast/_internal/serving/followers.py
@@ -3,17 +3,16 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import Final
 
 from dykemast._internal.exceptions import HistoryLostError, PlatformError
 from dykemast._internal.platform.objects import ObjectStore
-from dykemast._internal.platform.store_types import (
-    Changes,
-    Listing,
-    StoreObject,
-)
 from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.follower import (
+    Follower,
+    take_changes,
+    take_listing,
+)
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('store')
@@ -23,21 +22,6 @@
 MAX_PAUSE: Final = 0.5
 
 
-class Follower(NamedTuple):
-    """What to do with objects of a kind.
-
-    :param kind: the kind.
-    :param take_object: called for each object that is new or changed.
-    :param take_names: called with the names of all objects after a listing.
-    :param drop_object: called with the name of an object that is gone.
-    """
-
-    kind: str
-    take_object: Callable[[StoreObject], None]
-    take_names: Callable[[set[str]], None]
-    drop_object: Callable[[str], None]
-
-
 async def follow_kind(
     board: ServingBoard,
     store: ObjectStore,
@@ -78,43 +62,10 @@
         take_listing(follower, listing)
         return listing.revision
     changes = await store.watch(follower.kind, revision)
-    _take_changes(follower, changes)
+    take_changes(follower, changes)
     return changes.revision
 
 
-def take_listing(follower: Follower, listing: Listing) -> None:
-    """Take what a listing shows.
-
-    :param follower: what to do with the objects.
-    :param listing: all objects of its kind.
-    """
-    for stored in listing.found:
-        _take(follower, stored)
-    follower.take_names({one.name for one in listing.found})
-
-
-def _take_changes(follower: Follower, changes: Changes) -> None:
-    for event in changes.events:
-        if event.removed:
-            follower.drop_object(event.changed.name)
-        else:
-            _take(follower, event.changed)
-
-
-def _take(follower: Follower, stored: StoreObject) -> None:
-    try:
-        follower.take_object(stored)
-    except (KeyError, TypeError, ValueError) as error:
-        # The state before stays in force.
-        _log(
-            'object_not_usable',
-            kind=follower.kind,
-            name=stored.name,
-            revision=stored.revision,
-            reason=f'{type(error).__name__}: {error}',
-        )
-
-
 def _note_lost(
     board: ServingBoard,
     follower: Follower,
--- a/src/dykemast/_internal/serving/freshness.py
+++ b/src/dykemast/_internal/serving/freshness.py
@@ -13,7 +13,7 @@
 from dykemast._internal.exceptions import PlatformError
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.serving.board import ServingBoard, list_heard
-from dykemast._internal.serving.followers import Follower, take_listing
+from dykemast._internal.serving.follower import Follower, take_listing
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('freshness')
--- a/src/dykemast/_internal/serving/gossip.py
+++ b/src/dykemast/_internal/serving/gossip.py
@@ -5,19 +5,12 @@
 import time
 from typing import Any, Final
 
-import msgspec
-
 from dykemast._internal.exceptions import PeerError
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.network.peer_client import PeerClient
 from dykemast._internal.network.peer_codec import load_idl
 from dykemast._internal.serving import configuration
-from dykemast._internal.serving.board import (
-    SILENCE,
-    Peer,
-    ServingBoard,
-    is_silent,
-)
+from dykemast._internal.serving.board import Peer, ServingBoard, note_silent
 from dykemast._internal.serving.peer_news import NewsDesk
 from dykemast._internal.utils.events import make_logger
 
@@ -48,19 +41,6 @@
         self._desk = desk
         self._client = PeerClient(None, fleet_idl.Fleet)
 
-    async def spread(self) -> None:
-        """Exchange news with peers, for ever."""
-        while True:
-            due = self._list_due()
-            await asyncio.gather(*(self._talk(peer) for peer in due))
-            jitter = random.uniform(-ROUND_JITTER, ROUND_JITTER)
-            await asyncio.sleep(ROUND_PAUSE + jitter)
-
-    async def tell_all(self) -> None:
-        """Tell every peer the news now."""
-        peers = tuple(self._board.peers.values())
-        await asyncio.gather(*(self._talk(peer) for peer in peers))
-
     async def call(self, card: PeerCard, method: str, *words: Any) -> Any:
         """Call a peer.
 
@@ -76,15 +56,11 @@
         """Close all connections to peers."""
         self._client.close()
 
-    def _list_due(self) -> list[Peer]:
-        # Each exchange goes both ways, so whoever is first saves the other.
-        limit = time.monotonic() - ROUND_PAUSE
-        due = [
-            peer for peer in self._board.peers.values() if peer.heard_at < limit
-        ]
-        return random.sample(due, min(PEERS_A_ROUND, len(due)))
+    async def talk(self, peer: Peer) -> None:
+        """Exchange news with a peer; a failure is logged.
 
-    async def _talk(self, peer: Peer) -> None:
+        :param peer: the peer.
+        """
         try:
             body = await self.call(
                 peer.card, 'exchange', self._desk.write_news()
@@ -92,26 +68,56 @@
         except PeerError as error:
             _note_lost(peer, error)
             return
-        try:
-            self._desk.take_news(body)
-        except msgspec.MsgspecError as error:
-            _note_lost(peer, error)
-            return
+        self._desk.take_news(body)
         if peer.card.revision > self._board.count_version():
-            await self._fetch_configuration(peer.card)
+            await _fetch_configuration(self, self._board, peer.card)
 
-    async def _fetch_configuration(self, card: PeerCard) -> None:
-        newest = self._board.count_version()
-        try:
-            body = await self.call(card, 'newer_configuration', newest)
-        except PeerError as error:
-            _log('no_configuration', peer=card.instance, reason=str(error))
-            return
-        if body:
-            configuration.take_from_peer(self._board, body, card.instance)
+
+async def spread_news(board: ServingBoard, gossip: Gossip) -> None:
+    """Exchange news with peers, for ever.
+
+    :param board: the blackboard.
+    :param gossip: exchanges news.
+    """
+    while True:
+        due = _list_due(board)
+        await asyncio.gather(*(gossip.talk(peer) for peer in due))
+        jitter = random.uniform(-ROUND_JITTER, ROUND_JITTER)
+        await asyncio.sleep(ROUND_PAUSE + jitter)
+
+
+async def tell_all(board: ServingBoard, gossip: Gossip) -> None:
+    """Tell every peer the news now.
+
+    :param board: the blackboard.
+    :param gossip: exchanges news.
+    """
+    peers = tuple(board.peers.values())
+    await asyncio.gather(*(gossip.talk(peer) for peer in peers))
+
+
+def _list_due(board: ServingBoard) -> list[Peer]:
+    # Each exchange goes both ways, so whoever is first saves the other.
+    limit = time.monotonic() - ROUND_PAUSE
+    due = [peer for peer in board.peers.values() if peer.heard_at < limit]
+    return random.sample(due, min(PEERS_A_ROUND, len(due)))
+
+
+async def _fetch_configuration(
+    gossip: Gossip,
+    board: ServingBoard,
+    card: PeerCard,
+) -> None:
+    newest = board.count_version()
+    try:
+        body = await gossip.call(card, 'newer_configuration', newest)
+    except PeerError as error:
+        _log('no_configuration', peer=card.instance, reason=str(error))
+        return
+    if body:
+        configuration.take_from_peer(board, body, card.instance)
 
 
 def _note_lost(peer: Peer, error: Exception) -> None:
-    if peer.heard_at and not is_silent(peer):
+    if note_silent(peer):
         _log('peer_lost', peer=peer.card.instance, reason=str(error))
-        peer.heard_at = time.monotonic() - SILENCE
--- a/src/dykemast/_internal/serving/loops.py
+++ b/src/dykemast/_internal/serving/loops.py
@@ -10,6 +10,7 @@
     backends,
     budget_upkeep,
     configuration,
+    gossip,
     members,
 )
 from dykemast._internal.serving.assembly import Assembly
@@ -40,7 +41,7 @@
     :returns: the loops, not yet started.
     """
     board = assembly.parts.board
-    store = assembly.store
+    store = assembly.upkeep.store
     tables = configuration.make_follower(board)
     servers = backends.make_follower(board)
     followers = (tables, servers, members.make_follower(board))
@@ -49,7 +50,7 @@
         keep_fresh(board, store, Checked(servers, SERVERS_AGE)),
         *(follow_kind(board, store, follower) for follower in followers),
         _list_self(board, store),
-        assembly.gossip.spread(),
+        gossip.spread_news(board, assembly.links.gossip),
         budget_upkeep.follow_table(assembly.upkeep),
         budget_upkeep.review_rows(assembly.upkeep),
         _log_state(assembly),
@@ -60,7 +61,7 @@
     while True:
         await asyncio.sleep(STATE_PAUSE)
         state = describe_state(assembly.parts)
-        _log('state', **state, store_calls=assembly.store.calls)
+        _log('state', **state, store_calls=assembly.upkeep.store.calls)
 
 
 async def _list_self(board: ServingBoard, store: ObjectStore) -> None:
--- /dev/null
+++ b/src/dykemast/_internal/serving/outcomes.py
@@ -0,0 +1,36 @@
+"""What sends to backend servers came to, and how many may be repeated."""
+
+import time
+
+from dykemast._internal.models.backend import BackendServer
+from dykemast._internal.operations.retry_allowance import RetryAllowance
+from dykemast._internal.serving.parts import Parts
+
+
+def open_allowance(parts: Parts, service: str) -> RetryAllowance:
+    """Find the allowance for second sends to a service, or open it.
+
+    :param parts: parts of the program.
+    :param service: the service.
+    :returns: its allowance.
+    """
+    allowance = parts.retries.get(service)
+    if allowance is None:
+        bounds = parts.board.settings.bounds
+        allowance = RetryAllowance(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+        )
+        parts.retries[service] = allowance
+    return allowance
+
+
+def note_outcome(parts: Parts, server: BackendServer, *, failed: bool) -> None:
+    """Take note of how a backend server did.
+
+    :param parts: parts of the program.
+    :param server: the server.
+    :param failed: whether it failed.
+    """
+    parts.trust.note_outcome(server.name, time.monotonic(), failed=failed)
+    outcome = 'failed' if failed else 'done'
+    parts.meters.sends.inc({'service': server.service, 'outcome': outcome})
--- a/src/dykemast/_internal/serving/parts.py
+++ b/src/dykemast/_internal/serving/parts.py
@@ -2,14 +2,12 @@
 
 from typing import NamedTuple
 
-from dykemast._internal.models.caller_request import CallerRequest
-from dykemast._internal.models.routing_table import Route, Service, Workspace
 from dykemast._internal.operations.retry_allowance import RetryAllowance
 from dykemast._internal.operations.server_trust import ServerTrust
 from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.serving.budgets import Budgets
 from dykemast._internal.serving.loads import Loads
-from dykemast._internal.serving.meters import Meters
+from dykemast._internal.serving.meters import Meters, make_meters
 from dykemast._internal.serving.upstream import Upstreams
 
 
@@ -34,22 +32,20 @@
     meters: Meters
 
 
-class Ticket(NamedTuple):
-    """A request that was let in.
+def make_parts(board: ServingBoard, budgets: Budgets, loads: Loads) -> Parts:
+    """Put together what requests need.
 
-    :param request: the request.
-    :param route: its route.
-    :param service: the service that runs it.
-    :param workspace: who spends; None on a public route.
-    :param started: seconds on the steady clock when it came.
-    :param deadline: seconds on the steady clock by which it has to end.
-    :param version: configuration that decided.
+    :param board: the blackboard.
+    :param budgets: holds tokens.
+    :param loads: requests at backend servers.
+    :returns: the parts.
     """
-
-    request: CallerRequest
-    route: Route
-    service: Service
-    workspace: Workspace | None
-    started: float
-    deadline: float
-    version: int
+    return Parts(
+        board=board,
+        budgets=budgets,
+        loads=loads,
+        trust=ServerTrust(),
+        retries={},
+        upstreams=Upstreams(),
+        meters=make_meters(),
+    )
--- a/src/dykemast/_internal/serving/peer_calls.py
+++ b/src/dykemast/_internal/serving/peer_calls.py
@@ -3,8 +3,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
-import msgspec
-
 from dykemast._internal.network.peer_server import listen
 from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.serving.gossip import fleet_idl
@@ -35,10 +33,7 @@
     """
 
     async def exchange(body: bytes) -> bytes:
-        try:
-            desk.take_news(body)
-        except msgspec.MsgspecError as error:
-            raise fleet_idl.Refused(reason=str(error)) from error
+        desk.take_news(body)
         return desk.write_news()
 
     async def newer_configuration(above: int) -> bytes:
--- a/src/dykemast/_internal/serving/peer_news.py
+++ b/src/dykemast/_internal/serving/peer_news.py
@@ -40,12 +40,18 @@
         return msgspec.msgpack.encode(news)
 
     def take_news(self, body: bytes) -> None:
-        """Take a peer's news.
+        """Take a peer's news; those that make no sense are logged.
 
         :param body: as it wrote them.
-        :raises msgspec.MsgspecError: when they make no sense.
         """
-        news = msgspec.msgpack.decode(body, type=News)
+        try:
+            news = msgspec.msgpack.decode(body, type=News)
+        except msgspec.MsgspecError as error:
+            _log('news_not_usable', reason=str(error))
+        else:
+            self._take(news)
+
+    def _take(self, news: News) -> None:
         card = news.card
         members.meet_peer(self._board, card)
         peer = self._board.peers.get(card.instance)
--- a/src/dykemast/_internal/serving/plain_calls.py
+++ b/src/dykemast/_internal/serving/plain_calls.py
@@ -1,15 +1,16 @@
 """Requests that are answered at once."""
 
-import time
+import contextlib
 from typing import Final, NamedTuple
 
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.models.backend import BackendServer
-from dykemast._internal.models.forwarding import AnswerHead, Forwarding
-from dykemast._internal.serving.attempts import Attempts, is_repeatable
-from dykemast._internal.serving.parts import Parts, Ticket
+from dykemast._internal.models.forwarding import AnswerHead
+from dykemast._internal.serving.attempts import Attempts
+from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.ticket import Ticket
 from dykemast._internal.serving.responder import Responder
-from dykemast._internal.serving.upstream import Sending
+from dykemast._internal.serving.sending import make_sending
 
 #: Statuses from which a repeatable request may do better elsewhere.
 FIRST_SERVER_ERROR: Final = 500
@@ -41,7 +42,7 @@
         status = whole.head.status
         may_repeat = len(attempts.tried) < ticket.route.max_workers
         if status >= FIRST_SERVER_ERROR and may_repeat:
-            if is_repeatable(ticket):
+            if ticket.is_repeatable():
                 raise UpstreamError(f'status {status}', sent=True)
         await responder.answer(status, whole.head.headers, whole.body)
 
@@ -54,14 +55,10 @@
     server: BackendServer,
     body: bytes,
 ) -> _Whole:
-    workspace = ticket.workspace.name if ticket.workspace else ''
-    left = ticket.deadline - time.monotonic()
-    added = Forwarding(server.name, workspace, left)
-    sending = Sending(server, ticket.request, body, added, ticket.deadline)
-    parts.loads.own.begin(server.name, 0)
-    try:
+    sending = make_sending(ticket, body, server)
+    with contextlib.ExitStack() as ending:
+        parts.loads.own.begin(server.name, 0)
+        ending.callback(parts.loads.own.end, server.name)
         async with parts.upstreams.send(sending) as answer:
             whole = await answer.read_whole(ticket.deadline)
             return _Whole(answer.head, whole)
-    finally:
-        parts.loads.own.end(server.name)
--- a/src/dykemast/_internal/serving/records.py
+++ b/src/dykemast/_internal/serving/records.py
@@ -2,7 +2,8 @@
 
 import time
 
-from dykemast._internal.serving.parts import Parts, Ticket
+from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.ticket import Ticket
 from dykemast._internal.serving.refusals import RefusedError
 from dykemast._internal.utils.events import make_logger
 
@@ -28,6 +29,15 @@
     )
 
 
+def log_left(request_id: str, error: ConnectionError) -> None:
+    """Log that a caller left before its request was whole.
+
+    :param request_id: id that it gave the request.
+    :param error: what was seen of it.
+    """
+    _log('caller_left', request=request_id, reason=str(error))
+
+
 def note_end(parts: Parts, ticket: Ticket, outcome: str) -> None:
     """Log and count the end of a request that was not refused.
 
--- a/src/dykemast/_internal/serving/runtime.py
+++ b/src/dykemast/_internal/serving/runtime.py
@@ -7,15 +7,18 @@
 
 from dykemast._internal.models.deployment import Endpoint
 from dykemast._internal.network.listeners import Listener, open_on_sockets
-from dykemast._internal.serving import members
-from dykemast._internal.serving.application import make_application
+from dykemast._internal.serving import (
+    application,
+    budget_upkeep,
+    entry,
+    gossip,
+    loops,
+    members,
+    peer_calls,
+)
 from dykemast._internal.serving.assembly import Assembly, assemble
 from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.budget_upkeep import give_back
-from dykemast._internal.serving.entry import ENTRY_TTL, make_side_application
-from dykemast._internal.serving.loops import list_loops
 from dykemast._internal.serving.parts import Parts
-from dykemast._internal.serving.peer_calls import open_peer_server
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('router')
@@ -51,15 +54,17 @@
         started = time.monotonic()
         board.stopping = True
         _log('stopping', inflight=board.inflight)
-        await self.assembly.gossip.tell_all()
-        await members.unlist_self(board, self.assembly.store)
+        await gossip.tell_all(board, self.assembly.links.gossip)
+        await members.unlist_self(board, self.assembly.upkeep.store)
         await _wait_until_unused(board, started)
         await self._give_back()
         self._close()
         _log('stopped', inflight=board.inflight)
 
     async def _give_back(self) -> None:
-        work = asyncio.create_task(give_back(self.assembly.upkeep))
+        work = asyncio.create_task(
+            budget_upkeep.give_back(self.assembly.upkeep)
+        )
         _, late = await asyncio.wait((work,), timeout=GIVE_BACK_TIMEOUT)
         if late:
             work.cancel()
@@ -71,7 +76,7 @@
         for task in self.tasks:
             task.cancel()
         self.peer_server.close()
-        self.assembly.gossip.close()
+        self.assembly.links.gossip.close()
 
 
 async def open_runtime(board: ServingBoard) -> Runtime:
@@ -83,10 +88,10 @@
     """
     assembly = assemble(board)
     parts = assembly.parts
-    peer_server = await open_peer_server(
-        board, assembly.desk, parts.budgets.lend
+    peer_server = await peer_calls.open_peer_server(
+        board, assembly.links.desk, parts.budgets.lend
     )
-    tasks = [asyncio.create_task(loop) for loop in list_loops(assembly)]
+    tasks = [asyncio.create_task(loop) for loop in loops.list_loops(assembly)]
     listeners = await _open_listeners(parts)
     return Runtime(assembly, peer_server, listeners, tasks)
 
@@ -94,8 +99,8 @@
 async def _open_listeners(parts: Parts) -> list[Listener]:
     addresses = parts.board.settings.listeners
     side = (addresses.readiness, addresses.entry, addresses.metrics)
-    callers = make_application(parts)
-    others = make_side_application(parts)
+    callers = application.make_application(parts)
+    others = entry.make_side_application(parts)
     return [
         await open_on_sockets(callers, [_listen(addresses.caller)]),
         await open_on_sockets(others, [_listen(one) for one in side]),
@@ -109,7 +114,7 @@
 async def _wait_until_unused(board: ServingBoard, started: float) -> None:
     limit = started + board.settings.bounds.stop_timeout - STOP_MARGIN
     # Callers use kept entry answers for a while yet.
-    kept_until = started + ENTRY_TTL * KEPT_FACTOR
+    kept_until = started + entry.ENTRY_TTL * KEPT_FACTOR
     while time.monotonic() < limit:
         if time.monotonic() > kept_until and not board.inflight:
             return
--- /dev/null
+++ b/src/dykemast/_internal/serving/sending.py
@@ -0,0 +1,61 @@
+"""What is sent to a backend server."""
+
+import time
+from typing import NamedTuple
+
+from dykemast._internal.models.backend import BackendServer
+from dykemast._internal.models.caller_request import CallerRequest
+from dykemast._internal.models.forwarding import Forwarding
+from dykemast._internal.operations.priorities import choose_priority
+from dykemast._internal.serving.ticket import Ticket
+
+
+class Sending(NamedTuple):
+    """What is sent to a backend server.
+
+    :param server: the server.
+    :param request: the caller's request.
+    :param body: its body.
+    :param added: what this router adds.
+    :param deadline: seconds on the steady clock by which the answer has to
+        have begun.
+    """
+
+    server: BackendServer
+    request: CallerRequest
+    body: bytes
+    added: Forwarding
+    deadline: float
+
+    def resume_after(self, event: str) -> 'Sending':
+        """Ask for a stream from after an event.
+
+        :param event: its id; empty for the whole stream.
+        :returns: what to send.
+        """
+        return self._replace(added=self.added._replace(after_event=event))
+
+
+def make_sending(
+    ticket: Ticket,
+    body: bytes,
+    server: BackendServer,
+) -> Sending:
+    """Make what is sent of a request.
+
+    :param ticket: the request.
+    :param body: its body.
+    :param server: the server that gets it.
+    :returns: what to send.
+    """
+    workspace = ticket.workspace
+    priority = None
+    if ticket.service.engine:
+        priority = choose_priority(workspace, ticket.route)
+    added = Forwarding(
+        server=server.name,
+        workspace=workspace.name if workspace else '',
+        seconds=ticket.deadline - time.monotonic(),
+        priority=priority,
+    )
+    return Sending(server, ticket.request, body, added, ticket.deadline)
--- a/src/dykemast/_internal/serving/stream_requests.py
+++ b/src/dykemast/_internal/serving/stream_requests.py
@@ -1,8 +1,11 @@
 """Streamed requests, paid for out of their workspace's budget."""
 
-from dykemast._internal.serving.accounts import Hold
+import contextlib
+
+from dykemast._internal.serving.holds import Hold
 from dykemast._internal.serving.event_streams import EventStream
-from dykemast._internal.serving.parts import Parts, Ticket
+from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.ticket import Ticket
 from dykemast._internal.serving.responder import Responder
 
 
@@ -22,10 +25,9 @@
     """
     hold = await _hold_tokens(parts, ticket)
     stream = EventStream(parts, ticket, body, responder)
-    try:
+    with contextlib.ExitStack() as ending:
+        ending.callback(_settle, parts, ticket, hold, stream)
         await stream.serve()
-    finally:
-        _settle(parts, ticket, hold, stream)
 
 
 async def _hold_tokens(parts: Parts, ticket: Ticket) -> Hold | None:
--- a/src/dykemast/_internal/serving/token_search.py
+++ b/src/dykemast/_internal/serving/token_search.py
@@ -1,11 +1,13 @@
 """Find tokens for requests that this router has too few for."""
 
 import asyncio
+import contextlib
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
 from typing import Any, Final
 
-from dykemast._internal.serving.accounts import Account, Shortage
+from dykemast._internal.serving.accounts import Account
+from dykemast._internal.serving.holds import Shortage
 from dykemast._internal.serving.board import ServingBoard, list_heard
 from dykemast._internal.serving.gossip import Gossip
 from dykemast._internal.serving.ledger_writer import LedgerWriter, describe
@@ -25,6 +27,14 @@
 AWAY_RETRY: Final = 4.0
 
 
+@contextlib.contextmanager
+def _pending(account: Account, tokens: int) -> Iterator[None]:
+    with contextlib.ExitStack() as ending:
+        account.pending += tokens
+        ending.callback(account.end_waiting, tokens)
+        yield
+
+
 class TokenSearch:
     """Searches, one at a time for each budget.
 
@@ -53,11 +63,8 @@
         """
         if account.is_short_of(tokens):
             raise self._refuse(account, tokens)
-        account.pending += tokens
-        try:
+        with _pending(account, tokens):
             found = await self._try_twice(account, tokens)
-        finally:
-            account.pending -= tokens
         if not found:
             until = time.monotonic() + SHORT_TIME
             account.shortage = Shortage(tokens, until)
--- /dev/null
+++ b/src/dykemast/_internal/serving/token_sources.py
@@ -0,0 +1,36 @@
+"""Where tokens of budgets come from."""
+
+from typing import NamedTuple
+
+from dykemast._internal.platform.objects import ObjectStore
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.gossip import Gossip
+from dykemast._internal.serving.ledger_writer import LedgerWriter
+from dykemast._internal.serving.token_search import TokenSearch
+
+
+class Sources(NamedTuple):
+    """Where tokens come from.
+
+    :param writer: the store.
+    :param search: the store, then other routers.
+    """
+
+    writer: LedgerWriter
+    search: TokenSearch
+
+
+def open_sources(
+    board: ServingBoard,
+    store: ObjectStore,
+    gossip: Gossip,
+) -> Sources:
+    """Make what finds tokens.
+
+    :param board: the blackboard.
+    :param store: the object store.
+    :param gossip: asks other routers.
+    :returns: the sources.
+    """
+    writer = LedgerWriter(board, store)
+    return Sources(writer, TokenSearch(board, writer, gossip))
