--- a/src/dykemast/_internal/commands/instance.py
+++ b/src/dykemast/_internal/commands/instance.py
@@ -36,7 +36,11 @@
         }
     )
     with lines.applicationbound():
-        asyncio.run(_serve(board, lines))
+        try:
+            asyncio.run(_serve(board, lines))
+        except OSError as error:
+            # An address is in use: the process before may not have ended.
+            sys.exit(f'dykemast: not started: {error}')
     lines.flush()
 
 
--- /dev/null
+++ b/tests/functional/test_deployment_faults.py
@@ -0,0 +1,134 @@
+"""Faults of the store and of routers, over real processes."""
+
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from tests.lib.deployment import Deployment
+from tests.lib.fixtures import wait_until
+from tests.lib.users_caller import send, stream
+from tests.lib.users_objects import make_configuration, make_route, make_server
+
+
+def count_streamed(deployment: Deployment) -> int:
+    """Tokens that engines handed out or read, as the users count them."""
+    total = 0
+    for name in ('engine-0', 'engine-1'):
+        for run in deployment.control(name)['runs']:
+            prompt, _, output = run['headers']['x-token-usage'].partition(',')
+            total += int(prompt) + int(output)
+    return total
+
+
+def stream_until_refused(deployment: Deployment, router: str) -> int:
+    """Ask for streams of 1,100 tokens each; return how many were served."""
+    served = 0
+    for _ in range(40):
+        reply = stream(deployment, tokens='1000,20', router=router)
+        served += reply.status == 200
+        if reply.status in {402, 429, 503}:
+            return served
+    return served
+
+
+def test_no_overspend_while_the_store_is_away_and_processes_are_killed() -> (
+    None
+):
+    deployment = Deployment().start(prepaid=20_000)
+    stream(deployment, tokens='1000,20')
+    deployment.control('store', away=True)
+    served = stream_until_refused(deployment, 'node-0')
+    assert served >= 1, 'spare tokens serve requests while the store is away'
+    deployment.processes.kill('node-0')
+    deployment.control('store', away=False)
+    deployment.start_router('node-0')
+    deployment.wait_ready('node-0')
+    for router in deployment.names:
+        stream_until_refused(deployment, router)
+    assert count_streamed(deployment) <= 20_000
+    assert deployment.count_granted('joinville') <= 20_000
+    deployment.stop()
+
+
+def test_lost_answers_of_the_store_cost_no_token_and_create_none() -> None:
+    deployment = Deployment(routers=1).start(prepaid=12_000)
+    deployment.control('store', lose=2, late=0.5)
+    stream(deployment, tokens='1000,20')
+    assert wait_until(
+        lambda: stream(deployment, tokens='1000,20').status == 200
+    )
+    stream_until_refused(deployment, 'node-0')
+    assert count_streamed(deployment) <= 12_000
+    deployment.stop()
+
+
+def measure_spare(deployment: Deployment, router: str) -> int:
+    """Tokens charged to a router beyond those that it consumed."""
+    return sum(
+        row.limit - row.spent
+        for row in deployment.list_rows('joinville')
+        if row.instance == router
+    )
+
+
+def test_a_stopped_router_finishes_and_gives_its_tokens_back() -> None:
+    deployment = Deployment().start(prepaid=50_000)
+    deployment.control('engine-0', pause=0.05)
+    deployment.control('engine-1', pause=0.05)
+    stopped = deployment.processes.running['node-0']
+    with ThreadPoolExecutor() as sender:
+        sent = sender.submit(stream, deployment, tokens='100,40')
+        time.sleep(0.5)
+        stopped.send_signal(signal.SIGTERM)
+    reply = sent.result()
+    assert reply.whole
+    assert reply.body.count(b'data:') == 40
+    # Callers use kept addresses for a while.
+    assert send(deployment, '/order/1').status == 200
+    assert stopped.wait(8) == 0
+    assert measure_spare(deployment, 'node-0') == 0
+    deployment.stop()
+
+
+def test_changes_reach_routers_whose_watch_hears_nothing() -> None:
+    deployment = Deployment().start()
+    deployment.control('store', deaf=True)
+    routes = (make_route('/new/'),)
+    changed = make_configuration(version=7, routes=routes)
+    deployment.control('store', put=[['config', 'main', changed]])
+
+    def is_changed() -> bool:
+        return {
+            (
+                send(deployment, '/new/1', router=router).status,
+                send(deployment, '/order/1', router=router).status,
+            )
+            for router in deployment.names
+        } == {(200, 404)}
+
+    assert wait_until(is_changed)
+    deployment.stop()
+
+
+def test_a_leaving_server_gets_nothing_though_history_was_lost() -> None:
+    deployment = Deployment(routers=1).start()
+    leaving = make_server('engine-0', deployment.backend_ports['engine-0'])
+    leaving[-1]['state'] = 'draining'
+    deployment.control('store', put=[leaving], forget=True)
+    time.sleep(0.5)
+    for _ in range(6):
+        assert b'engine-0' not in stream(deployment).body
+    deployment.control('store', remove=[['servers', 'engine-1']])
+    assert wait_until(lambda: stream(deployment).status == 503, 3)
+    deployment.stop()
+
+
+def test_a_lowered_budget_binds_at_once() -> None:
+    deployment = Deployment(routers=1).start(prepaid=100_000)
+    stream(deployment, tokens='1000,20')
+    lowered = make_configuration(version=2, prepaid=2_000)
+    deployment.control('store', put=[['config', 'main', lowered]])
+    assert wait_until(
+        lambda: stream(deployment, tokens='1000,20').status == 402, 3
+    )
+    deployment.stop()
--- /dev/null
+++ b/tests/lib/backend_server.py
@@ -0,0 +1,106 @@
+"""Stand-in of a users' backend server, by their published protocol.
+
+``python -m tests.lib.backend_server --port N --name ID``. It streams events
+for paths under ``/stream/`` and answers at once elsewhere. ``POST /control``
+sets ``fault``: nothing, ``shed`` (503, not run), ``error`` (500), ``cut``
+(breaks off midway), ``mute`` (no answer), ``unsigned``, ``other`` (answers
+another request) or ``misdirected``; it returns what ran and what it got.
+"""
+
+import argparse
+import asyncio
+from typing import Any
+
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+EVENT_PAUSE = 0.01
+state: dict[str, Any] = {'fault': '', 'name': '', 'pause': EVENT_PAUSE}
+runs: list[dict[str, Any]] = []
+
+
+class BreakError(Exception):
+    """Breaks an answer off."""
+
+
+def _make_head(request: Request) -> dict[str, str]:
+    answered = request.headers.get('x-attempt-id', '')
+    if state['fault'] == 'other':
+        answered = 'somebody-else'
+    head = {'x-attempt-id': answered}
+    if state['fault'] != 'unsigned':
+        name = state['name']
+        head['x-response-seal'] = f'signed.{name}'
+    return head
+
+
+async def serve(request: Request) -> Response:
+    head = _make_head(request)
+    expected = request.headers.get('x-expect-instance')
+    if state['fault'] == 'misdirected' or expected != state['name']:
+        return Response('', 421, head)
+    if state['fault'] == 'shed':
+        return Response('', 503, {**head, 'x-not-executed': '1'})
+    body = await request.body()
+    runs.append(
+        {
+            'id': request.headers.get('x-attempt-id'),
+            'path': str(request.url.path),
+            'query': str(request.url.query),
+            'headers': dict(request.headers),
+            'body': body.decode('latin-1'),
+        }
+    )
+    if state['fault'] == 'mute':
+        await asyncio.sleep(30)
+    if state['fault'] == 'error':
+        return Response('failed', 500, head)
+    if request.url.path.startswith('/stream/'):
+        head['content-type'] = 'text/event-stream'
+        return StreamingResponse(_make_events(request), 200, head)
+    return Response('done', 200, head)
+
+
+async def _make_events(request: Request) -> Any:
+    _, _, most = request.headers['x-token-usage'].partition(',')
+    first = int(request.headers.get('last-event-id') or 0) + 1
+    for number in range(first, int(most) + 1):
+        await asyncio.sleep(state['pause'])
+        if state['fault'] == 'cut' and number == first + 2:
+            yield f'id: {number}\nda'.encode()
+            await asyncio.sleep(0.05)
+            raise BreakError
+        yield f'id: {number}\ndata: {state["name"]}\n\n'.encode()
+    runs[-1]['whole'] = True
+
+
+async def control(request: Request) -> Response:
+    state.update(await request.json())
+    return JSONResponse({'runs': runs})
+
+
+app = Starlette(
+    routes=[
+        Route('/control', control, methods=['POST']),
+        Route('/{path:path}', serve, methods=['GET', 'POST', 'PUT']),
+    ]
+)
+
+if __name__ == '__main__':
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--name', required=True)
+    options = parser.parse_args()
+    state['name'] = options.name
+    uvicorn.run(
+        app,
+        host=options.host,
+        port=options.port,
+        loop='asyncio',
+        log_level='critical',
+        timeout_graceful_shutdown=1,
+    )
--- /dev/null
+++ b/tests/lib/deployment.py
@@ -0,0 +1,117 @@
+"""A small deployment on loopback: store, backend servers and routers.
+
+Each router has an IP number of its own, as on the users' instances.
+"""
+
+import json
+import time
+from typing import Any
+from urllib import error as url_error
+
+import msgspec
+
+from dykemast._internal.models.budget_ledger import BudgetLedger, LedgerRow
+from tests.lib.processes import Processes
+from tests.lib.users_objects import make_configuration, make_server
+from tests.lib.users_settings import make_settings
+from tools.calls import call
+from tools.ports import choose_network, find_ports
+
+PORT_NAMES = ('caller', 'readiness', 'entry', 'peer', 'metrics')
+START_PATIENCE = 30
+
+
+class Deployment:
+    """Processes of one deployment."""
+
+    def __init__(self, routers: int = 2, engines: int = 2) -> None:
+        names = ('store', 'plain-0', *_name_engines(engines))
+        self.backend_ports = dict(
+            zip(names, find_ports(len(names)), strict=True)
+        )
+        ports = find_ports(len(PORT_NAMES))
+        self.ports = dict(zip(PORT_NAMES, ports, strict=True))
+        self.names = [f'node-{number}' for number in range(routers)]
+        self.processes = Processes()
+        self._network = choose_network()
+
+    def start(self, **configuration: Any) -> 'Deployment':
+        self.start_servers(make_configuration(**configuration))
+        for name in self.names:
+            self.start_router(name)
+        for name in self.names:
+            self.wait_ready(name)
+        return self
+
+    def start_servers(self, configuration: Any) -> None:
+        put = [['config', 'main', configuration]]
+        for name, port in self.backend_ports.items():
+            if name != 'store':
+                put.append(make_server(name, port))
+                self._run_on_port(
+                    name, 'tests.lib.backend_server', '--name', name
+                )
+        self._run_on_port(
+            'store', 'tests.lib.object_store', '--put', json.dumps(put)
+        )
+
+    def start_router(self, name: str) -> None:
+        path = self.processes.folder / f'{name}.toml'
+        path.write_text(make_settings(self, name))
+        self.processes.run(
+            name, 'dykemast.instance', DYKEMAST_SETTINGS=str(path)
+        )
+
+    def find_host(self, name: str) -> str:
+        number = 1 + self.names.index(name)
+        return f'{self._network}.{number}'
+
+    def find_url(self, name: str, listener: str) -> str:
+        host = self.find_host(name)
+        return 'http://{0}:{1}'.format(host, self.ports[listener])
+
+    def wait_ready(self, name: str) -> None:
+        limit = time.monotonic() + START_PATIENCE
+        process = self.processes.running[name]
+        url = self.find_url(name, 'entry')
+        while time.monotonic() < limit and process.poll() is None:
+            try:
+                call(f'{url}/resolve?name=any')
+            except (url_error.URLError, OSError):
+                time.sleep(0.05)
+            else:
+                return
+        raise TimeoutError(self.processes.read_log(name))
+
+    def control(self, name: str, **fields: Any) -> Any:
+        """Set faults of the store or of a server; see their modules."""
+        port = self.backend_ports[name]
+        return call(f'http://127.0.0.1:{port}/control', fields)
+
+    def read_ledger(self, workspace: str) -> BudgetLedger:
+        kinds = self.control('store')['objects']
+        spec = kinds['dykemast-budgets'][workspace]['spec']
+        return msgspec.convert(spec, BudgetLedger)
+
+    def count_granted(self, workspace: str) -> int:
+        """Sum of the limits of all routers and of what is charged."""
+        limits = [row.limit for row in self.list_rows(workspace)]
+        return self.read_ledger(workspace).closed + sum(limits)
+
+    def list_rows(self, workspace: str) -> list[LedgerRow]:
+        return list(self.read_ledger(workspace).rows.values())
+
+    def read_events(self, name: str) -> list[dict[str, Any]]:
+        lines = self.processes.read_log(name).splitlines()
+        return [json.loads(line) for line in lines if line.startswith('{')]
+
+    def stop(self) -> None:
+        self.processes.stop()
+
+    def _run_on_port(self, name: str, module: str, *words: str) -> None:
+        port = str(self.backend_ports[name])
+        self.processes.run(name, module, '--port', port, *words)
+
+
+def _name_engines(engines: int) -> list[str]:
+    return [f'engine-{number}' for number in range(engines)]
--- /dev/null
+++ b/tests/lib/ledger_world.py
@@ -0,0 +1,108 @@
+"""Small world for the rows of a budget: routers, one object, late writes.
+
+Only decision code of the product runs here. The oracle knows two numbers:
+tokens paid, and tokens that engines may have consumed.
+"""
+
+from typing import NamedTuple
+
+from dykemast._internal.models.budget_ledger import BudgetLedger
+from dykemast._internal.operations.allowance import Allowance
+from dykemast._internal.operations.allowance_terms import (
+    Identity,
+    Terms,
+    Usage,
+    Want,
+)
+from dykemast._internal.operations.ledger_rows import plan_ledger
+
+
+class Write(NamedTuple):
+    """A write that may still take effect, if its revision is met."""
+
+    revision: int
+    ledger: BudgetLedger
+
+
+class Router:
+    """One process of a router; frozen ones keep what they know."""
+
+    def __init__(self, instance: str, number: int) -> None:
+        self.identity = Identity(instance, f'{instance}-{number}')
+        self.number = number
+        self.allowance = Allowance()
+        self.holds: list[int] = []
+        self.seen: tuple[int, BudgetLedger | None] = (0, None)
+        self.version = 0
+
+
+class World:
+    """Store, routers and what the oracle has to know."""
+
+    def __init__(self, prepaid: int) -> None:
+        self.prepaid = prepaid
+        self.most_prepaid = prepaid
+        self.version = 1
+        self.revision = 0
+        self.ledger: BudgetLedger | None = None
+        self.late: list[Write] = []
+        self.consumed = 0
+        self.routers = [Router(f'i{number}', 0) for number in range(3)]
+
+    def plan(self, router: Router, pending: int, *, spare: bool) -> Write:
+        allowance = router.allowance
+        # A router that was not told of a change goes by the older version.
+        router.version = router.version or self.version
+        planned = plan_ledger(
+            router.seen[1],
+            router.identity,
+            Usage(allowance.spent, max(0, allowance.count_charged())),
+            Terms(router.version, self.prepaid, len(self.routers)),
+            Want(pending, 100, spare),
+        )
+        row = planned.rows[router.identity.incarnation]
+        allowance.expect_limit(row.limit)
+        return Write(router.seen[0], planned)
+
+    def apply(self, write: Write) -> bool:
+        if write.revision != self.revision:
+            return False
+        self.revision += 1
+        self.ledger = write.ledger
+        return True
+
+    def read(self, router: Router) -> None:
+        router.seen = (self.revision, self.ledger)
+
+    def confirm(self, router: Router) -> None:
+        self.read(router)
+        assert self.ledger is not None
+        row = self.ledger.rows[router.identity.incarnation]
+        router.allowance.confirm_limit(row.limit)
+
+    def hold(self, router: Router, tokens: int) -> bool:
+        if not router.allowance.take_hold(tokens):
+            return False
+        # From here on an engine may consume all of it, come what may.
+        self.consumed += tokens
+        router.holds.append(tokens)
+        return True
+
+    def settle(self, router: Router, used: int) -> None:
+        if router.holds:
+            tokens = router.holds.pop(0)
+            used = min(used, tokens)
+            router.allowance.held -= tokens
+            router.allowance.spent += used
+            self.consumed -= tokens - used
+
+    def restart(self, number: int) -> None:
+        old = self.routers[number]
+        new = Router(old.identity.instance, old.number + 1)
+        self.routers[number] = new
+
+    def count_granted(self) -> int:
+        if self.ledger is None:
+            return 0
+        limits = sum(row.limit for row in self.ledger.rows.values())
+        return self.ledger.closed + limits
--- /dev/null
+++ b/tests/lib/object_store.py
@@ -0,0 +1,221 @@
+"""Stand-in of the users' object store, by its published protocol.
+
+``python -m tests.lib.object_store --port N``. ``POST /control`` sets faults:
+``latency`` (s), ``away`` (503 to all), ``silent`` (no answer), ``lose``
+(writes that are done and not answered), ``late`` (s after which such writes
+are done), ``deaf`` (watches hear nothing) and ``forget`` (drop the history).
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+from typing import Any
+
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+PAGE = 50
+
+
+class Store:
+    """Objects, their history and the faults."""
+
+    def __init__(self) -> None:
+        self.kinds: dict[str, dict[str, dict]] = {}
+        self.events: list[tuple[int, str, bool, dict]] = []
+        self.forgotten = 0
+        self.revision = 0
+        self.changed = asyncio.Condition()
+        self.calls = {'GET': 0, 'PUT': 0, 'POST': 0, 'DELETE': 0}
+        self.faults: dict[str, Any] = {
+            'latency': 0,
+            'away': False,
+            'silent': False,
+            'lose': 0,
+            'late': 0,
+            'deaf': False,
+        }
+
+    def put(self, kind: str, name: str, spec: Any) -> dict:
+        self.revision += 1
+        made = {
+            'metadata': {
+                'name': name,
+                'revision': self.revision,
+                'createdRev': self.revision,
+                'finalizers': [],
+                'deleting': False,
+            },
+            'spec': spec,
+            'status': None,
+        }
+        self.kinds.setdefault(kind, {})[name] = made
+        self.events.append((self.revision, kind, False, made))
+        return made
+
+    def remove(self, kind: str, name: str) -> dict | None:
+        gone = self.kinds.get(kind, {}).pop(name, None)
+        if gone:
+            self.revision += 1
+            self.events.append((self.revision, kind, True, gone))
+        return gone
+
+    async def tell(self) -> None:
+        async with self.changed:
+            self.changed.notify_all()
+
+
+store = Store()
+
+
+async def _meddle(request: Request) -> Response | None:
+    store.calls[request.method] += 1
+    await asyncio.sleep(store.faults['latency'])
+    if store.faults['silent']:
+        await asyncio.sleep(60)
+    if store.faults['away']:
+        return JSONResponse({'error': 'away'}, 503)
+    return None
+
+
+def _write(kind: str, name: str, body: dict) -> Response:
+    found = store.kinds.get(kind, {}).get(name)
+    wanted = body.get('metadata', {}).get('revision')
+    if found is None and wanted:
+        return JSONResponse({'error': 'none'}, 404)
+    if found and wanted != found['metadata']['revision']:
+        return JSONResponse(found, 409)
+    return JSONResponse(store.put(kind, name, body['spec']))
+
+
+async def _write_unanswered(kind: str, name: str, body: dict) -> None:
+    await asyncio.sleep(store.faults['late'])
+    _write(kind, name, body)
+    await store.tell()
+    await asyncio.sleep(60)
+
+
+async def write(request: Request) -> Response:
+    bad = await _meddle(request)
+    if bad:
+        return bad
+    body = await request.json()
+    kind = request.path_params['kind']
+    name = request.path_params.get('name') or body['metadata']['name']
+    if store.faults['lose'] > 0:
+        store.faults['lose'] -= 1
+        await _write_unanswered(kind, name, body)
+    answer = _write(kind, name, body)
+    await store.tell()
+    return answer
+
+
+async def read(request: Request) -> Response:
+    bad = await _meddle(request)
+    kind = request.path_params['kind']
+    name = request.path_params['name']
+    found = store.kinds.get(kind, {}).get(name)
+    if bad:
+        return bad
+    return JSONResponse(found or {}, 200 if found else 404)
+
+
+async def delete(request: Request) -> Response:
+    bad = await _meddle(request)
+    if bad:
+        return bad
+    kind = request.path_params['kind']
+    gone = store.remove(kind, request.path_params['name'])
+    await store.tell()
+    return JSONResponse(gone or {}, 200 if gone else 404)
+
+
+async def list_or_watch(request: Request) -> Response:
+    bad = await _meddle(request)
+    if bad:
+        return bad
+    kind = request.path_params['kind']
+    if 'watch' in request.query_params:
+        return await _watch(kind, request)
+    after = request.query_params.get('afterRevision', '')
+    found = store.kinds.get(kind, {})
+    names = sorted(name for name in found if name > after)
+    return JSONResponse(
+        {
+            'items': [found[name] for name in names[:PAGE]],
+            'morePages': len(names) > PAGE,
+            'storeRevision': store.revision,
+        }
+    )
+
+
+async def _watch(kind: str, request: Request) -> Response:
+    since = int(request.query_params['watch'])
+    wait = int(request.query_params['waitMs']) / 1000
+
+    def find() -> list[dict]:
+        if store.faults['deaf']:
+            return []
+        return [
+            {'removed': removed, 'object': changed}
+            for revision, of_kind, removed, changed in store.events
+            if of_kind == kind and revision > since
+        ]
+
+    if since < store.forgotten:
+        return JSONResponse({'error': 'gone'}, 410)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(wait), store.changed:
+            await store.changed.wait_for(
+                lambda: bool(find()) or since < store.forgotten
+            )
+    if since < store.forgotten:
+        return JSONResponse({'error': 'gone'}, 410)
+    return JSONResponse({'events': find(), 'storeRevision': store.revision})
+
+
+async def control(request: Request) -> Response:
+    body = await request.json()
+    for kind, name, spec in body.pop('put', []):
+        store.put(kind, name, spec)
+    for kind, name in body.pop('remove', []):
+        store.remove(kind, name)
+    if body.pop('forget', False):
+        store.forgotten = store.revision
+        store.events.clear()
+    store.faults.update(body)
+    await store.tell()
+    return JSONResponse({'objects': store.kinds, 'calls': store.calls})
+
+
+app = Starlette(
+    routes=[
+        Route('/control', control, methods=['POST']),
+        Route('/objects/{kind}', list_or_watch),
+        Route('/objects/{kind}', write, methods=['POST']),
+        Route('/objects/{kind}/{name}', read),
+        Route('/objects/{kind}/{name}', write, methods=['PUT']),
+        Route('/objects/{kind}/{name}', delete, methods=['DELETE']),
+    ]
+)
+
+if __name__ == '__main__':
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--put', default='[]')
+    options = parser.parse_args()
+    for kind, name, spec in json.loads(options.put):
+        store.put(kind, name, spec)
+    uvicorn.run(
+        app,
+        host=options.host,
+        port=options.port,
+        loop='asyncio',
+        log_level='error',
+        timeout_graceful_shutdown=1,
+    )
--- /dev/null
+++ b/tests/lib/users_objects.py
@@ -0,0 +1,93 @@
+"""Objects of the users' store, as their operators and servers write them."""
+
+from typing import Any
+
+HOST = 'shop.example'
+KEY = 'key-of-joinville'
+
+
+def make_route(prefix: str, **fields: Any) -> dict[str, Any]:
+    return {
+        'name': f'r{prefix}',
+        'host': HOST,
+        'pathPrefix': prefix,
+        'type': 'unsafe',
+        'timeoutMs': 4000,
+        'sloMs': 400,
+        'priority': 1,
+        'service': 'shop',
+        'attempts': 1,
+        'public': False,
+        **fields,
+    }
+
+
+def make_stream_route(prefix: str, **fields: Any) -> dict[str, Any]:
+    return make_route(
+        prefix,
+        **{
+            'type': 'streaming',
+            'service': 'llm',
+            'attempts': 2,
+            'resumable': True,
+            **fields,
+        },
+    )
+
+
+ROUTES = (
+    make_route('/order/'),
+    make_route('/price/', type='safe', attempts=2),
+    make_stream_route('/stream/'),
+    make_stream_route('/stream/once/', resumable=False, attempts=1),
+)
+
+
+def make_configuration(
+    version: int = 1,
+    prepaid: int = 100_000,
+    routes: tuple[dict[str, Any], ...] = ROUTES,
+    keys: tuple[str, ...] = (KEY,),
+) -> dict[str, Any]:
+    return {
+        'version': version,
+        'routes': list(routes),
+        'services': [
+            {
+                'name': 'llm',
+                'healthPath': '/healthz',
+                'maxConns': 300,
+                'engine': {'slots': 8, 'kvCapacity': 50_000, 'stride': 5},
+            },
+            {'name': 'shop', 'healthPath': '/healthz', 'maxConns': 90},
+        ],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 100_000,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+        'tenants': [
+            {
+                'name': 'joinville',
+                'apiKeys': list(keys),
+                'priority': 1,
+                'prepaid': prepaid,
+            }
+        ],
+    }
+
+
+def make_server(name: str, port: int) -> list[Any]:
+    service = 'llm' if name.startswith('engine') else 'shop'
+    spec = {
+        'service': service,
+        'address': f'127.0.0.1:{port}',
+        'zone': 'joinville',
+        'version': 'v1',
+        'slots': 6,
+        'state': 'ready',
+        'coldLeftMs': 0,
+        'sequence': 1,
+    }
+    return ['servers', name, spec]
--- /dev/null
+++ b/tests/lib/users_settings.py
@@ -0,0 +1,38 @@
+"""Settings file of one instance, as the users' platform writes it."""
+
+from typing import Any
+
+TEMPLATE = """
+nodeName = "{name}"
+role = "router"
+machineClass = "edge"
+ip = "{host}"
+zone = "joinville"
+region = "sul"
+portRange = [{peer},{peer}]
+unknown = "ignored"
+[listen]
+frontend = "{host}:{caller}"
+readiness = "{host}:{readiness}"
+directory = "{host}:{entry}"
+[limits]
+maxFds = 4200
+[bounds]
+graceS = 8
+retryBudgetRatio = 0.2
+budgetSlack = 52
+budgetWindowS = 10
+ttl_max_s = 5
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+def make_settings(deployment: Any, name: str) -> str:
+    """Write the settings of one router of a deployment."""
+    return TEMPLATE.format(
+        name=name,
+        host=deployment.find_host(name),
+        store=deployment.backend_ports['store'],
+        **deployment.ports,
+    )
--- /dev/null
+++ b/tests/unit/test_serving_rules.py
@@ -0,0 +1,108 @@
+"""Rules of the program for the users' platform, without input and output."""
+
+from dykemast._internal.models.caller_request import PromptPart
+from dykemast._internal.models.news import ServerLoad
+from dykemast._internal.operations.own_loads import OwnLoads
+from dykemast._internal.operations.peer_loads import PeerLoads
+from dykemast._internal.operations.prompt_cache import PromptCache
+from dykemast._internal.operations.retry_allowance import RetryAllowance
+from dykemast._internal.operations.server_choice import (
+    EngineOption,
+    ServiceOption,
+    choose_engine,
+    choose_plain,
+)
+from dykemast._internal.operations.server_trust import ServerTrust
+from dykemast._internal.serving.event_parser import EventParser, read_event_id
+
+
+def test_events_are_passed_on_whole_only() -> None:
+    parser = EventParser()
+    assert not parser.feed(b'id: 1\nda')
+    assert parser.feed(b'ta: x\n\nid: 2') == [b'id: 1\ndata: x\n\n']
+    assert parser.has_rest()
+    assert parser.feed(b'\n\n') == [b'id: 2\n\n']
+    assert not parser.has_rest()
+    assert read_event_id(b'id: 17\ndata: id: 3\n\n') == '17'
+    assert not read_event_id(b'data: x\n\n')
+
+
+def test_all_routers_together_keep_the_allowance_for_retries() -> None:
+    spent = 0
+    for _ in range(6):
+        allowance = RetryAllowance(0.2, 52, 10)
+        for _ in range(10):
+            allowance.note_request(0)
+        spent += sum(allowance.spend(1, 6) for _ in range(100))
+    assert 0 < spent <= 0.2 * 60 + 52
+    assert allowance.spend(20, 6), 'the window slides'
+
+
+def test_a_prompt_part_is_of_use_after_those_before_it_only() -> None:
+    cache = PromptCache(100)
+    first, second = PromptPart('a', 60), PromptPart('b', 30)
+    cache.note_prompt([first, second])
+    assert cache.count_kept([first, second]) == 90
+    assert not cache.count_kept([PromptPart('x', 5), second])
+    cache.note_prompt([PromptPart('c', 50)])
+    assert not cache.count_kept([first]), 'the oldest part gave way'
+
+
+def make_engine(name: str, **fields) -> EngineOption:
+    return EngineOption(
+        **{
+            'server': name,
+            'running': 0,
+            'slots': 8,
+            'unread': 0,
+            'missing': 1000,
+            'trust': 1,
+            **fields,
+        }
+    )
+
+
+def test_an_engine_that_keeps_the_prompt_is_chosen_unless_it_is_busy() -> None:
+    fresh = make_engine('fresh')
+    assert choose_engine([fresh, make_engine('keeps', missing=10)], float) == (
+        'keeps'
+    )
+    busy = make_engine('keeps', missing=10, unread=5000)
+    assert choose_engine([fresh, busy], float) == 'fresh'
+    full = make_engine('keeps', missing=10, running=8)
+    assert choose_engine([fresh, full], float) == 'fresh'
+    assert choose_engine([], float) is None
+
+
+def test_a_plain_server_that_fails_is_left_alone() -> None:
+    good = ServiceOption('good', 3, 6, near=False, trust=1)
+    grey = ServiceOption('grey', 0, 6, near=True, trust=0.1)
+    assert choose_plain([good, grey], float) == 'good'
+
+
+def test_trust_is_lost_at_once_and_comes_back_slowly() -> None:
+    trust = ServerTrust()
+    for tenth in range(4):
+        trust.note_outcome('s', tenth / 10, failed=True)
+    assert trust.measure('s', 0) < 1 / 3
+    assert trust.measure('s', 30) > 1 / 2
+    assert round(trust.measure('other', 4), 3) == 1
+
+
+def test_loads_of_peers_count_while_they_are_fresh() -> None:
+    peers = PeerLoads()
+    peers.take('p', (ServerLoad('s', 3, 700),), 10)
+    assert peers.measure('s', 11) == ServerLoad('s', 3, 700)
+    assert peers.measure('s', 13) == ServerLoad('s', 0, 0)
+
+
+def test_own_loads_forget_what_has_ended() -> None:
+    own = OwnLoads()
+    own.begin('s', 500)
+    own.begin('s', 100)
+    own.end_reading('s', 500)
+    own.end('s')
+    assert own.measure('s') == ServerLoad('s', 1, 100)
+    own.end_reading('s', 100)
+    own.end('s')
+    assert not own.tell_all()
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -30,8 +30,57 @@
 _MESSAGES: Final = 'test_lease_messages'
 _DEATH: Final = 'test_lease_death'
 
+_LEDGER: Final = 'test_ledger_fuzz'
+_ALLOWANCE: Final = f'{_INTERNAL}/operations/allowance.py'
+_ROWS: Final = f'{_INTERNAL}/operations/ledger_rows.py'
+
+#: Rules of the budgets on the users' platform.
+LEDGER_MUTATIONS: Final = (
+    Mutation(
+        'use a row before the store has confirmed it',
+        _OVERSPEND,
+        _ALLOWANCE,
+        'self._limit = min(self._limit, limit)',
+        'self._limit = limit',
+        _LEDGER,
+    ),
+    Mutation(
+        'lend and use the tokens as well',
+        _OVERSPEND,
+        _ALLOWANCE,
+        'self.lent += given',
+        'self.lent += 0',
+        _LEDGER,
+    ),
+    Mutation(
+        'charge an ended router with what it wrote down only',
+        _OVERSPEND,
+        _ROWS,
+        'limits = sum(row.limit for row in ended.values())',
+        'limits = sum(row.spent for row in ended.values())',
+        _LEDGER,
+    ),
+    Mutation(
+        'grant more than is free in the store',
+        _OVERSPEND,
+        _ROWS,
+        'min(free, want.pending)',
+        'want.pending',
+        _LEDGER,
+    ),
+    Mutation(
+        'let an older configuration raise a lowered budget',
+        _OVERSPEND,
+        _ROWS,
+        'if terms.version < ledger.version:',
+        'if terms.version < 0:',
+        _LEDGER,
+    ),
+)
+
 #: All mutations.
 MUTATIONS: Final = (
+    *LEDGER_MUTATIONS,
     Mutation(
         'grant more than is free',
         _OVERSPEND,
--- a/tools/ports.py
+++ b/tools/ports.py
@@ -1,6 +1,23 @@
-"""Free ports on loopback."""
+"""Free ports and networks on loopback."""
 
+import itertools
+import os
 import socket
+from typing import Final
+
+_networks: Final = itertools.count(1)
+#: Processes that use networks of their own at a time.
+_PROCESSES: Final = 200
+_FIRST_NETWORK: Final = 10
+
+
+def choose_network() -> str:
+    """Choose a network on loopback that nothing else here uses.
+
+    :returns: the first three parts of its IP numbers.
+    """
+    process = _FIRST_NETWORK + os.getpid() % _PROCESSES
+    return f'127.{process}.{next(_networks)}'
 
 
 def find_ports(count: int) -> list[int]:
