Read shared prompt parts at few engines; keepers lend budgets in large fleets

Ruled out: fewer, larger rows (a kill strands them). Change: a shared part that has to be read counts four times in the choice of an engine; from 20 routers on, a budget's keeper (by rendezvous) writes its row and lends; the list of routers is read at the start and every 15 s instead of watched; changes of servers gather for 0.3 s; silence of a peer is measured by the fleet's size.

--- a/src/dykemast/_internal/operations/server_choice.py
+++ b/src/dykemast/_internal/operations/server_choice.py
@@ -6,6 +6,9 @@
 #: Prompt tokens that a running stream slows a new one by: a step takes some
 #: 2 % longer with each, over the some hundred tokens of an answer.
 TOKENS_PER_RUNNING: Final = 250
+#: Times that a shared part counts in addition when it has to be read: what
+#: one engine keeps, another should not read again.
+SHARED_FACTOR: Final = 3
 #: Load by which a server of another hall must be lighter.
 FAR_SLOTS: Final = 0.1
 #: Trust that is taken for a server that always fails.
@@ -22,6 +25,7 @@
     :param slots: requests that it runs at once.
     :param unread: prompt tokens that it has to read before.
     :param missing: tokens of this prompt that it has to read.
+    :param missing_shared: those of them that other prompts have as well.
     :param trust: from 0, failing, to 1.
     """
 
@@ -30,6 +34,7 @@
     slots: int
     unread: int
     missing: int
+    missing_shared: int
     trust: float
 
 
@@ -88,6 +93,7 @@
 
 def _cost_engine(option: EngineOption) -> float:
     tokens = option.unread + option.missing
+    tokens += SHARED_FACTOR * option.missing_shared
     tokens += TOKENS_PER_RUNNING * option.running
     if option.running >= option.slots:
         # It would wait for a slot, whatever it keeps.
--- a/src/dykemast/_internal/serving/assembly.py
+++ b/src/dykemast/_internal/serving/assembly.py
@@ -11,7 +11,7 @@
 from dykemast._internal.serving.old_rows import Upkeep
 from dykemast._internal.serving.parts import Parts, make_parts
 from dykemast._internal.serving.peer_links import PeerLinks, link_peers
-from dykemast._internal.serving.token_sources import open_sources
+from dykemast._internal.serving.budget_parts import open_sources
 
 
 class Assembly(NamedTuple):
@@ -48,5 +48,5 @@
 ) -> Upkeep:
     sources = open_sources(board, store, links.gossip)
     identity = Identity(board.settings.name, board.incarnation)
-    budgets = Budgets(identity, sources.search)
+    budgets = Budgets(board, identity, sources.search)
     return Upkeep(board, store, budgets, sources.writer, sources.search)
--- a/src/dykemast/_internal/serving/backends.py
+++ b/src/dykemast/_internal/serving/backends.py
@@ -1,6 +1,7 @@
 """Keep the list of backend servers."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.platform.store_types import StoreObject
@@ -11,6 +12,10 @@
 
 _log = make_logger('backends')
 
+#: Seconds in which changes of servers gather; a leaving one may get requests
+#: for 2 s.
+WATCH_PAUSE: Final = 0.3
+
 
 def make_follower(board: ServingBoard) -> Follower:
     """Make what follows the entries of backend servers.
@@ -31,7 +36,9 @@
         for name in set(board.servers) - names:
             drop_object(name)
 
-    return Follower(SERVER_KIND, take_object, take_names, drop_object)
+    return Follower(
+        SERVER_KIND, take_object, take_names, drop_object, WATCH_PAUSE
+    )
 
 
 def note_leaving(
--- a/src/dykemast/_internal/serving/board.py
+++ b/src/dykemast/_internal/serving/board.py
@@ -12,8 +12,9 @@
 from dykemast._internal.models.routing_table import RoutingTable
 
 #: Seconds since the last news after which a peer counts as silent: several
-#: rounds of news.
+#: rounds of news, of which each reaches some peers only in a large fleet.
 SILENCE: Final = 1.5
+SILENCE_PER_PEER: Final = 0.05
 
 
 @dataclasses.dataclass
@@ -93,24 +94,27 @@
         )
 
 
-def is_silent(peer: Peer) -> bool:
+def is_silent(board: ServingBoard, peer: Peer) -> bool:
     """Tell whether nothing was heard of a peer for a while.
 
+    :param board: the blackboard.
     :param peer: the peer.
     :returns: whether it is silent.
     """
-    return time.monotonic() - peer.heard_at > SILENCE
+    patience = max(SILENCE, SILENCE_PER_PEER * len(board.peers))
+    return time.monotonic() - peer.heard_at > patience
 
 
-def note_silent(peer: Peer) -> bool:
+def note_silent(board: ServingBoard, peer: Peer) -> bool:
     """Take note that a peer does not answer.
 
+    :param board: the blackboard.
     :param peer: the peer.
     :returns: whether that is new.
     """
-    if not peer.heard_at or is_silent(peer):
+    if is_silent(board, peer):
         return False
-    peer.heard_at = time.monotonic() - SILENCE
+    peer.heard_at = 0
     return True
 
 
@@ -120,4 +124,4 @@
     :param board: the blackboard.
     :returns: the peers.
     """
-    return (peer for peer in board.peers.values() if not is_silent(peer))
+    return (peer for peer in board.peers.values() if not is_silent(board, peer))
--- /dev/null
+++ b/src/dykemast/_internal/serving/budget_keepers.py
@@ -0,0 +1,48 @@
+"""Which router keeps the tokens of a workspace in a large fleet.
+
+In a small fleet every router writes its own row of each budget. In a large
+one, where a workspace meets each router seldom, that would be a call to the
+store for most requests: there one router, its keeper, holds tokens for all
+and lends them. Who it is is a hint; the store arbitrates.
+"""
+
+from typing import Final
+
+from dykemast._internal.models.fleet import PeerCard
+from dykemast._internal.operations.rendezvous import choose_keeper
+from dykemast._internal.serving.board import ServingBoard, list_heard
+
+#: Routers up to which each writes its own rows: beyond some twenty, their
+#: writes of one budget would mostly meet each other.
+SMALL_FLEET: Final = 20
+
+
+def is_large(board: ServingBoard) -> bool:
+    """Tell whether budgets have keepers.
+
+    :param board: the blackboard.
+    :returns: whether they have.
+    """
+    return len(board.peers) >= SMALL_FLEET
+
+
+def keeps(board: ServingBoard, workspace: str) -> bool:
+    """Tell whether this router writes its row of a budget by itself.
+
+    :param board: the blackboard.
+    :param workspace: whose budget it is.
+    :returns: whether it does.
+    """
+    return not is_large(board) or find_keeper(board, workspace) is None
+
+
+def find_keeper(board: ServingBoard, workspace: str) -> PeerCard | None:
+    """Find the other router that keeps a budget.
+
+    :param board: the blackboard.
+    :param workspace: whose budget it is.
+    :returns: its card; None when this router keeps it.
+    """
+    cards = {peer.card.instance: peer.card for peer in list_heard(board)}
+    names = [board.settings.name, *cards]
+    return cards.get(choose_keeper(workspace, names) or '')
--- a/src/dykemast/_internal/serving/token_sources.py
+++ b/src/dykemast/_internal/serving/budget_parts.py
@@ -7,6 +7,7 @@
 from dykemast._internal.serving.gossip import Gossip
 from dykemast._internal.serving.ledger_writer import LedgerWriter
 from dykemast._internal.serving.token_search import TokenSearch
+from dykemast._internal.serving.token_source import TokenSource
 
 
 class Sources(NamedTuple):
@@ -33,4 +34,5 @@
     :returns: the sources.
     """
     writer = LedgerWriter(board, store)
-    return Sources(writer, TokenSearch(board, writer, gossip))
+    source = TokenSource(board, writer, gossip)
+    return Sources(writer, TokenSearch(source, writer))
--- a/src/dykemast/_internal/serving/budget_upkeep.py
+++ b/src/dykemast/_internal/serving/budget_upkeep.py
@@ -6,6 +6,7 @@
 
 from dykemast._internal.serving.accounts import Account
 from dykemast._internal.serving.holds import Shortage
+from dykemast._internal.serving.budget_keepers import keeps
 from dykemast._internal.serving.old_rows import Upkeep, close_old_rows
 
 #: Seconds between two looks at the rows.
@@ -40,9 +41,8 @@
     await close_old_rows(upkeep)
     while True:
         await asyncio.sleep(REVIEW_PAUSE)
-        routers = 1 + len(upkeep.board.peers)
         for account in upkeep.budgets.accounts.values():
-            if upkeep.writer.may_try() and _is_off_target(account, routers):
+            if _needs_write(upkeep, account):
                 upkeep.search.start(account, upkeep.writer.write(account))
 
 
@@ -70,6 +70,14 @@
     account.allowance.expect_limit(account.allowance.count_charged())
 
 
+def _needs_write(upkeep: Upkeep, account: Account) -> bool:
+    if not upkeep.writer.may_try():
+        return False
+    if not keeps(upkeep.board, account.workspace):
+        return False
+    return _is_off_target(account, 1 + len(upkeep.board.peers))
+
+
 def _is_off_target(account: Account, routers: int) -> bool:
     if time.monotonic() - account.written_at < IDLE_WRITE_PAUSE:
         return False
--- a/src/dykemast/_internal/serving/budgets.py
+++ b/src/dykemast/_internal/serving/budgets.py
@@ -5,6 +5,8 @@
 from dykemast._internal.models.routing_table import Workspace
 from dykemast._internal.operations.allowance_terms import Identity
 from dykemast._internal.serving.accounts import Account
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.budget_keepers import is_large, keeps
 from dykemast._internal.serving.holds import Hold
 from dykemast._internal.serving.token_search import TokenSearch
 
@@ -12,12 +14,19 @@
 class Budgets:
     """Accounts of the workspaces.
 
+    :param board: the blackboard.
     :param identity: who this router is.
     :param search: finds tokens where this router has too few.
     """
 
-    def __init__(self, identity: Identity, search: TokenSearch) -> None:
+    def __init__(
+        self,
+        board: ServingBoard,
+        identity: Identity,
+        search: TokenSearch,
+    ) -> None:
         """Open no account yet."""
+        self._board = board
         self._identity = identity
         self._search = search
         self.accounts: dict[str, Account] = {}
@@ -65,5 +74,10 @@
         :param tokens: how many it wants.
         :returns: how many it gets.
         """
-        account = self.accounts.get(workspace)
-        return account.allowance.lend(tokens) if account else 0
+        account = self.open_account(workspace)
+        if is_large(self._board):
+            account.demand.note(tokens, time.monotonic())
+            short = account.allowance.count_room() < tokens
+            if short and keeps(self._board, workspace):
+                await self._search.refill(account, tokens)
+        return account.allowance.lend(tokens)
--- a/src/dykemast/_internal/serving/choices.py
+++ b/src/dykemast/_internal/serving/choices.py
@@ -57,6 +57,13 @@
     return max(0, request.prompt_tokens - kept)
 
 
+def _count_missing_shared(parts: Parts, ticket: Ticket, server: str) -> int:
+    # The last part is the request's own, or its session's.
+    shared = ticket.request.prompt[:-1]
+    total = sum(part.tokens for part in shared)
+    return total - parts.loads.caches.count_kept(server, shared)
+
+
 def _weigh_engine(
     parts: Parts,
     ticket: Ticket,
@@ -70,6 +77,7 @@
         slots=server.slots,
         unread=load.unread,
         missing=count_missing(parts, ticket, server.name),
+        missing_shared=_count_missing_shared(parts, ticket, server.name),
         trust=parts.trust.measure(server.name, now),
     )
 
--- a/src/dykemast/_internal/serving/follower.py
+++ b/src/dykemast/_internal/serving/follower.py
@@ -20,12 +20,15 @@
     :param take_object: called for each object that is new or changed.
     :param take_names: called with the names of all objects after a listing.
     :param drop_object: called with the name of an object that is gone.
+    :param pause: seconds after an answer of a watch in which further changes
+        gather, so that many of them make one call.
     """
 
     kind: str
     take_object: Callable[[StoreObject], None]
     take_names: Callable[[set[str]], None]
     drop_object: Callable[[str], None]
+    pause: float = 0
 
 
 def take_listing(follower: Follower, listing: Listing) -> None:
--- a/src/dykemast/_internal/serving/followers.py
+++ b/src/dykemast/_internal/serving/followers.py
@@ -63,6 +63,7 @@
         return listing.revision
     changes = await store.watch(follower.kind, revision)
     take_changes(follower, changes)
+    await asyncio.sleep(follower.pause)
     return changes.revision
 
 
--- a/src/dykemast/_internal/serving/gossip.py
+++ b/src/dykemast/_internal/serving/gossip.py
@@ -66,7 +66,7 @@
                 peer.card, 'exchange', self._desk.write_news()
             )
         except PeerError as error:
-            _note_lost(peer, error)
+            _note_lost(self._board, peer, error)
             return
         self._desk.take_news(body)
         if peer.card.revision > self._board.count_version():
@@ -118,6 +118,6 @@
         configuration.take_from_peer(board, body, card.instance)
 
 
-def _note_lost(peer: Peer, error: Exception) -> None:
-    if note_silent(peer):
+def _note_lost(board: ServingBoard, peer: Peer, error: PeerError) -> None:
+    if note_silent(board, peer):
         _log('peer_lost', peer=peer.card.instance, reason=str(error))
--- a/src/dykemast/_internal/serving/loans.py
+++ b/src/dykemast/_internal/serving/loans.py
@@ -32,7 +32,7 @@
     lenders = choose_lenders(peers, account)
     missing = account.pending - account.allowance.count_room()
     if missing > 0:
-        asks = (_ask(gossip, card, account, missing) for card in lenders)
+        asks = (ask_lender(gossip, card, account, missing) for card in lenders)
         await asyncio.gather(*asks)
 
 
@@ -50,19 +50,27 @@
     return lenders[:MAX_LENDERS]
 
 
-async def _ask(
+async def ask_lender(
     gossip: Gossip,
     card: PeerCard,
     account: Account,
     missing: int,
-) -> None:
+) -> bool:
+    """Ask one peer for tokens.
+
+    :param gossip: calls peers.
+    :param card: the peer.
+    :param account: the budget.
+    :param missing: how many are wanted.
+    :returns: whether it answered.
+    """
     try:
         given = await gossip.call(card, 'lend', account.workspace, missing)
     except PeerError as error:
         # If it lent without an answer, the tokens are lost rather than
         # used twice.
         _log('loan_failed', peer=card.instance, reason=str(error))
-        return
+        return False
     account.allowance.borrowed += given
     _log(
         'tokens_borrowed',
@@ -71,3 +79,4 @@
         tokens=given,
         missing=missing,
     )
+    return True
--- a/src/dykemast/_internal/serving/loops.py
+++ b/src/dykemast/_internal/serving/loops.py
@@ -4,8 +4,6 @@
 from collections.abc import Coroutine
 from typing import Any, Final
 
-from dykemast._internal.exceptions import PlatformError
-from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.serving import (
     backends,
     budget_upkeep,
@@ -14,7 +12,6 @@
     members,
 )
 from dykemast._internal.serving.assembly import Assembly
-from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.serving.entry import describe_state
 from dykemast._internal.serving.followers import follow_kind
 from dykemast._internal.serving.freshness import Checked, keep_fresh
@@ -28,8 +25,6 @@
 SERVERS_AGE: Final = 1.6
 #: Seconds between two lines on the state of the router.
 STATE_PAUSE: Final = 10.0
-#: Seconds between two tries to list this router in the store.
-LIST_PAUSE: Final = 0.5
 
 Loop = Coroutine[Any, Any, None]
 
@@ -44,12 +39,12 @@
     store = assembly.upkeep.store
     tables = configuration.make_follower(board)
     servers = backends.make_follower(board)
-    followers = (tables, servers, members.make_follower(board))
     return [
         keep_fresh(board, store, Checked(tables, CONFIGURATION_AGE)),
         keep_fresh(board, store, Checked(servers, SERVERS_AGE)),
-        *(follow_kind(board, store, follower) for follower in followers),
-        _list_self(board, store),
+        follow_kind(board, store, tables),
+        follow_kind(board, store, servers),
+        members.keep_listed(board, store),
         gossip.spread_news(board, assembly.links.gossip),
         budget_upkeep.follow_table(assembly.upkeep),
         budget_upkeep.review_rows(assembly.upkeep),
@@ -62,15 +57,3 @@
         await asyncio.sleep(STATE_PAUSE)
         state = describe_state(assembly.parts)
         _log('state', **state, store_calls=assembly.upkeep.store.calls)
-
-
-async def _list_self(board: ServingBoard, store: ObjectStore) -> None:
-    listed = False
-    while not listed:
-        try:
-            await members.list_self(board, store)
-        except PlatformError as error:
-            _log('entry_not_written', reason=str(error))
-            await asyncio.sleep(LIST_PAUSE)
-        else:
-            listed = True
--- a/src/dykemast/_internal/serving/members.py
+++ b/src/dykemast/_internal/serving/members.py
@@ -1,42 +1,46 @@
 """Routers find each other through the store."""
 
-from typing import Final
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Final
 
 import msgspec
 
 from dykemast._internal.exceptions import PlatformError
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.platform.objects import ObjectStore
-from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.serving.board import Peer, ServingBoard
-from dykemast._internal.serving.follower import Follower
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('members')
 
 #: Kind of the objects in which routers list themselves.
 MEMBER_KIND: Final = 'dykemast-routers'
+#: Seconds between two tries to list this router.
+RETRY_PAUSE: Final = 0.5
+#: Seconds until all routers that start together are listed.
+START_PAUSE: Final = 1.5
+#: Seconds between two reads of the list later on: each is a priced call, and
+#: silence of a router that left is noticed without it.
+READ_PAUSE: Final = 15.0
 
 
-def make_follower(board: ServingBoard) -> Follower:
-    """Make what follows the list of routers.
+async def keep_listed(board: ServingBoard, store: ObjectStore) -> None:
+    """List this router in the store, and read who else is listed, for ever.
+
+    Whoever starts later meets all others by news; so reading is needed for
+    those that start at the same time, and to forget those that left.
 
     :param board: the blackboard.
-    :returns: the follower.
+    :param store: the object store.
     """
-
-    def take_object(stored: StoreObject) -> None:
-        meet_peer(board, msgspec.convert(stored.spec, PeerCard))
-
-    def drop_object(name: str) -> None:
-        if board.peers.pop(name, None):
-            _log('peer_gone', peer=name)
-
-    def take_names(names: set[str]) -> None:
-        for name in set(board.peers) - names:
-            drop_object(name)
-
-    return Follower(MEMBER_KIND, take_object, take_names, drop_object)
+    while not await _try(list_self(board, store)):
+        await asyncio.sleep(RETRY_PAUSE)
+    pause = START_PAUSE
+    while True:
+        await _try(_read_peers(board, store))
+        await asyncio.sleep(pause)
+        pause = READ_PAUSE
 
 
 def meet_peer(board: ServingBoard, card: PeerCard) -> None:
@@ -67,6 +71,25 @@
     await store.write(MEMBER_KIND, before._replace(spec=card))
 
 
+async def _read_peers(board: ServingBoard, store: ObjectStore) -> None:
+    listing = await store.list_kind(MEMBER_KIND)
+    for stored in listing.found:
+        meet_peer(board, msgspec.convert(stored.spec, PeerCard))
+    listed = {one.name for one in listing.found}
+    for name in set(board.peers) - listed:
+        board.peers.pop(name)
+        _log('peer_gone', peer=name)
+
+
+async def _try(work: Coroutine[Any, Any, None]) -> bool:
+    try:
+        await work
+    except (PlatformError, msgspec.ValidationError) as error:
+        _log('members_not_read', reason=str(error))
+        return False
+    return True
+
+
 async def unlist_self(board: ServingBoard, store: ObjectStore) -> None:
     """Remove this router's own entry.
 
--- a/src/dykemast/_internal/serving/peer_news.py
+++ b/src/dykemast/_internal/serving/peer_news.py
@@ -57,7 +57,7 @@
         peer = self._board.peers.get(card.instance)
         if peer is None:
             return
-        if is_silent(peer):
+        if is_silent(self._board, peer):
             _log('peer_heard', peer=card.instance, version=card.revision)
         peer.card = card
         peer.heard_at = time.monotonic()
--- a/src/dykemast/_internal/serving/token_search.py
+++ b/src/dykemast/_internal/serving/token_search.py
@@ -8,11 +8,9 @@
 
 from dykemast._internal.serving.accounts import Account
 from dykemast._internal.serving.holds import Shortage
-from dykemast._internal.serving.board import ServingBoard, list_heard
-from dykemast._internal.serving.gossip import Gossip
 from dykemast._internal.serving.ledger_writer import LedgerWriter, describe
-from dykemast._internal.serving.loans import borrow_tokens
 from dykemast._internal.serving.refusals import RefusalCode, RefusedError
+from dykemast._internal.serving.token_source import TokenSource
 
 #: Seconds that a request waits for tokens: a quarter of the users' shortest
 #: objective for streams is 0.2 s, after which a refusal counts as late.
@@ -38,21 +36,14 @@
 class TokenSearch:
     """Searches, one at a time for each budget.
 
-    :param board: the blackboard.
-    :param writer: writes rows to the store.
-    :param gossip: asks other routers.
+    :param source: finds tokens elsewhere.
+    :param writer: tells whether the store answers.
     """
 
-    def __init__(
-        self,
-        board: ServingBoard,
-        writer: LedgerWriter,
-        gossip: Gossip,
-    ) -> None:
+    def __init__(self, source: TokenSource, writer: LedgerWriter) -> None:
         """Search for nothing yet."""
-        self._board = board
+        self._source = source
         self._writer = writer
-        self._gossip = gossip
 
     async def wait_for_tokens(self, account: Account, tokens: int) -> None:
         """Set tokens aside as soon as there are enough.
@@ -87,24 +78,27 @@
             work.close()
         return account.search
 
+    async def refill(self, account: Account, tokens: int) -> None:
+        """Look for tokens that a peer wants to borrow.
+
+        :param account: the budget, which this router keeps.
+        :param tokens: how many.
+        """
+        with _pending(account, tokens):
+            search = self.start(account, self._source.find(account))
+            await asyncio.wait((search,), timeout=HOLD_PATIENCE)
+
     async def _try_twice(self, account: Account, tokens: int) -> bool:
         limit = time.monotonic() + HOLD_PATIENCE
         # The first search may have begun before this request came.
         for _ in range(2):
-            search = self.start(account, self._search(account))
+            search = self.start(account, self._source.find(account))
             left = limit - time.monotonic()
             await asyncio.wait((search,), timeout=max(0, left))
             if account.allowance.take_hold(tokens):
                 return True
         return False
 
-    async def _search(self, account: Account) -> None:
-        if self._writer.may_try():
-            await self._writer.write(account)
-        if account.pending > account.allowance.count_room():
-            peers = [peer.card for peer in list_heard(self._board)]
-            await borrow_tokens(self._gossip, peers, account)
-
     def _refuse(self, account: Account, tokens: int) -> RefusedError:
         details = {'wanted': tokens, **describe(account)}
         if self._writer.is_away:
--- /dev/null
+++ b/src/dykemast/_internal/serving/token_source.py
@@ -0,0 +1,56 @@
+"""Where a router finds tokens that it has not: peers and the store."""
+
+import time
+
+from dykemast._internal.operations.spare_size import SPARE_TIME
+from dykemast._internal.serving.accounts import Account
+from dykemast._internal.serving.board import ServingBoard, list_heard
+from dykemast._internal.serving.budget_keepers import find_keeper, is_large
+from dykemast._internal.serving.gossip import Gossip
+from dykemast._internal.serving.ledger_writer import LedgerWriter
+from dykemast._internal.serving.loans import ask_lender, borrow_tokens
+
+
+class TokenSource:
+    """Asks the keeper, the store and peers, in this order.
+
+    :param board: the blackboard.
+    :param writer: writes rows to the store.
+    :param gossip: asks other routers.
+    """
+
+    def __init__(
+        self,
+        board: ServingBoard,
+        writer: LedgerWriter,
+        gossip: Gossip,
+    ) -> None:
+        """Ask nobody yet."""
+        self._board = board
+        self._writer = writer
+        self._gossip = gossip
+
+    async def find(self, account: Account) -> None:
+        """Find the tokens that requests wait for, and some to spare.
+
+        :param account: the budget.
+        """
+        if is_large(self._board) and await self._ask_keeper(account):
+            return
+        if self._writer.may_try():
+            await self._writer.write(account)
+        if account.pending > account.allowance.count_room():
+            peers = [peer.card for peer in list_heard(self._board)]
+            await borrow_tokens(self._gossip, peers, account)
+
+    async def _ask_keeper(self, account: Account) -> bool:
+        """Ask the budget's keeper.
+
+        :returns: whether it answered.
+        """
+        keeper = find_keeper(self._board, account.workspace)
+        if keeper is None:
+            return False
+        missing = account.pending - account.allowance.count_room()
+        spare = int(account.demand.measure(time.monotonic()) * SPARE_TIME)
+        return await ask_lender(self._gossip, keeper, account, missing + spare)
--- a/tests/unit/test_serving_rules.py
+++ b/tests/unit/test_serving_rules.py
@@ -56,6 +56,7 @@
             'slots': 8,
             'unread': 0,
             'missing': 1000,
+            'missing_shared': 0,
             'trust': 1,
             **fields,
         }
@@ -74,6 +75,12 @@
     assert choose_engine([], float) is None
 
 
+def test_shared_parts_are_read_at_few_engines() -> None:
+    keeps = make_engine('keeps', missing=0, unread=1500)
+    idle = make_engine('idle', missing=1000, missing_shared=1000)
+    assert choose_engine([idle, keeps], float) == 'keeps'
+
+
 def test_a_plain_server_that_fails_is_left_alone() -> None:
     good = ServiceOption('good', 3, 6, near=False, trust=1)
     grey = ServiceOption('grey', 0, 6, near=True, trust=0.1)
