--- a/src/dykemast/_internal/serving/event_streams.py
+++ b/src/dykemast/_internal/serving/event_streams.py
@@ -87,6 +87,8 @@
         sending = make_sending(self._ticket, self._body, server)
         sending = sending.resume_after(self.relay.last_event)
         async with self._parts.upstreams.send(sending) as answer:
+            # From here on it ran, also when the answer is a failure.
+            self._attempts.may_have_run = True
             _note_prompt(self._parts, self._ticket, server)
             if answer.head.status >= _FIRST_FAILURE:
                 await self._pass_failure(answer)
--- a/tests/functional/test_deployment_faults.py
+++ b/tests/functional/test_deployment_faults.py
@@ -132,3 +132,13 @@
         lambda: stream(deployment, tokens='1000,20').status == 402, 3
     )
     deployment.stop()
+
+
+def test_a_run_that_the_engine_answers_with_a_failure_is_charged() -> None:
+    deployment = Deployment(routers=1).start(prepaid=3_000)
+    for name in ('engine-0', 'engine-1'):
+        deployment.control(name, fault='error')
+    statuses = [stream(deployment, tokens='1000,20').status for _ in range(4)]
+    assert statuses[:2] == [500, 500]
+    assert 500 not in statuses[2:], 'its prompts have been read'
+    deployment.stop()
--- /dev/null
+++ b/tests/functional/test_soak.py
@@ -0,0 +1,18 @@
+"""A short soak: the seeds that failed once, and a fixed one."""
+
+from pathlib import Path
+
+from tests.soak import run
+
+SEEDS = Path(run.__file__).parent / 'seeds.txt'
+FIXED_SEED = 8
+
+
+def read_seeds() -> list[int]:
+    words = [line.split() for line in SEEDS.read_text().splitlines()]
+    return [int(found[0]) for found in words if found[0].isdigit()]
+
+
+def test_seeds_that_failed_once_keep_the_promises() -> None:
+    for seed in (*read_seeds(), FIXED_SEED):
+        assert not run.run_seed(seed).broken, seed
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,26 @@
+"""Run soak seeds: ``python -m tests.soak SEED...`` or ``--fresh N``."""
+
+import argparse
+import random
+import sys
+
+from tests.soak.run import run_seed
+
+if __name__ == '__main__':
+    parser = argparse.ArgumentParser()
+    parser.add_argument('seeds', nargs='*', type=int)
+    parser.add_argument('--fresh', type=int, default=0)
+    options = parser.parse_args()
+    drawn = random.sample(range(10**6), options.fresh)
+    broken = 0
+    for seed in (*options.seeds, *drawn):
+        outcome = run_seed(seed)
+        broken += bool(outcome.broken)
+        sys.stdout.write(f'seed {seed}: {outcome.summary}\n')
+        for line in outcome.broken[:5]:
+            sys.stdout.write(f'  BROKEN {line}\n')
+        sys.stdout.flush()
+    total = len(options.seeds) + options.fresh
+    kept = total - broken
+    sys.stdout.write(f'{kept} of {total} seeds kept the promises\n')
+    sys.exit(bool(broken))
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,61 @@
+"""Loopback proxy that delays, resets, silences or cuts one way."""
+
+import asyncio
+import contextlib
+import random
+from typing import Any
+
+MODES = ('delay', 'reset', 'silent', 'one_way')
+CHUNK = 65536
+
+
+class Proxy:
+    """Passes connections on to one port, unless told otherwise."""
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+        self.port = 0
+        self.mode = ''
+        self._open: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def switch(self, mode: str) -> None:
+        self.mode = mode
+        if mode == 'reset':
+            for writer in tuple(self._open):
+                writer.transport.abort()
+
+    async def _serve(self, reader: Any, writer: asyncio.StreamWriter) -> None:
+        if self.mode == 'reset':
+            writer.transport.abort()
+            return
+        with contextlib.suppress(OSError):
+            far_reader, far_writer = await asyncio.open_connection(
+                '127.0.0.1', self.target
+            )
+            self._open |= {writer, far_writer}
+            await asyncio.gather(
+                self._pass_on(reader, far_writer, back=False),
+                self._pass_on(far_reader, writer, back=True),
+            )
+        writer.close()
+
+    async def _pass_on(self, reader: Any, writer: Any, *, back: bool) -> None:
+        with contextlib.suppress(OSError):
+            chunk = await reader.read(CHUNK)
+            while chunk:
+                await self._hold_up(back=back)
+                writer.write(chunk)
+                await writer.drain()
+                chunk = await reader.read(CHUNK)
+        self._open.discard(writer)
+        writer.close()
+
+    async def _hold_up(self, *, back: bool) -> None:
+        if self.mode == 'delay':
+            await asyncio.sleep(random.uniform(0, 0.3))
+        while self.mode == 'silent' or (self.mode == 'one_way' and back):
+            await asyncio.sleep(0.05)
