The least urgent requests leave tokens for an urgent one

Change: requests of routes of priority 2 and more are held only if 12,000 tokens are left after them, here or after a search.

--- a/src/dykemast/_internal/serving/budgets.py
+++ b/src/dykemast/_internal/serving/budgets.py
@@ -1,6 +1,7 @@
 """Hold tokens of workspaces' budgets for requests."""
 
 import time
+from typing import Final
 
 from dykemast._internal.models.routing_table import Workspace
 from dykemast._internal.operations.allowance_terms import Identity
@@ -11,6 +12,13 @@
 from dykemast._internal.serving.token_search import TokenSearch
 
 
+#: Tokens that the least urgent requests leave for others: an urgent one. A
+#: trial of more and less stands in docs/design/machines.md.
+URGENT_RESERVE: Final = 12_000
+#: First priority of a route that counts as not urgent.
+LATER_PRIORITY: Final = 2
+
+
 class Budgets:
     """Accounts of the workspaces.
 
@@ -43,18 +51,25 @@
             self.accounts[workspace] = account
         return account
 
-    async def hold(self, workspace: Workspace, tokens: int) -> Hold:
+    async def hold(
+        self,
+        workspace: Workspace,
+        tokens: int,
+        priority: int,
+    ) -> Hold:
         """Set tokens aside for a request.
 
         :param workspace: who spends.
         :param tokens: what the request may consume at the most.
+        :param priority: the route's; 0 is the most urgent.
         :returns: the hold, to be settled.
         :raises RefusedError: when there are not as many.
         """
         account = self.open_account(workspace.name)
         account.demand.note(tokens, time.monotonic())
-        if not account.allowance.take_hold(tokens):
-            await self._search.wait_for_tokens(account, tokens)
+        reserve = URGENT_RESERVE if priority >= LATER_PRIORITY else 0
+        if not account.allowance.take_hold(tokens, reserve):
+            await self._search.wait_for_tokens(account, tokens, reserve)
         return Hold(workspace.name, tokens)
 
     def settle(self, hold: Hold, used: int) -> None:
--- a/src/dykemast/_internal/serving/stream_requests.py
+++ b/src/dykemast/_internal/serving/stream_requests.py
@@ -35,7 +35,8 @@
     if workspace is None or workspace.prepaid is None:
         return None
     tokens = ticket.request.prompt_tokens + ticket.request.output_tokens
-    hold = await parts.budgets.hold(workspace, tokens)
+    priority = ticket.route.priority
+    hold = await parts.budgets.hold(workspace, tokens, priority)
     parts.meters.tokens.add({'state': 'held'}, tokens)
     return hold
 
--- a/src/dykemast/_internal/serving/token_search.py
+++ b/src/dykemast/_internal/serving/token_search.py
@@ -49,19 +49,25 @@
         self._source = source
         self._writer = writer
 
-    async def wait_for_tokens(self, account: Account, tokens: int) -> None:
+    async def wait_for_tokens(
+        self,
+        account: Account,
+        tokens: int,
+        reserve: int,
+    ) -> None:
         """Set tokens aside as soon as there are enough.
 
         :param account: the budget.
         :param tokens: how many.
+        :param reserve: how many to leave for others.
         :raises RefusedError: when there are not enough in time.
         """
-        if account.is_short_of(tokens):
+        if account.is_short_of(tokens + reserve):
             raise self._refuse(account, tokens)
-        with _pending(account, tokens):
-            found = await self._try_twice(account, tokens)
+        with _pending(account, tokens + reserve):
+            found = await self._try_twice(account, tokens, reserve)
         if not found:
-            _note_shortage(account, tokens)
+            _note_shortage(account, tokens + reserve)
             raise self._refuse(account, tokens)
 
     def start(
@@ -95,14 +101,19 @@
         if account.allowance.count_room() < tokens:
             _note_shortage(account, tokens)
 
-    async def _try_twice(self, account: Account, tokens: int) -> bool:
+    async def _try_twice(
+        self,
+        account: Account,
+        tokens: int,
+        reserve: int,
+    ) -> bool:
         limit = time.monotonic() + HOLD_PATIENCE
         # The first search may have begun before this request came.
         for _ in range(2):
             search = self.start(account, self._source.find(account))
             left = limit - time.monotonic()
             await asyncio.wait((search,), timeout=max(0, left))
-            if account.allowance.take_hold(tokens):
+            if account.allowance.take_hold(tokens, reserve):
                 return True
         return False
 
--- a/tests/unit/test_serving_rules.py
+++ b/tests/unit/test_serving_rules.py
@@ -2,6 +2,7 @@
 
 from dykemast._internal.models.caller_request import PromptPart
 from dykemast._internal.models.news import ServerLoad
+from dykemast._internal.operations.allowance import Allowance
 from dykemast._internal.operations.own_loads import OwnLoads
 from dykemast._internal.operations.peer_loads import PeerLoads
 from dykemast._internal.operations.prompt_cache import PromptCache
@@ -113,3 +114,12 @@
     own.end_reading('s', 100)
     own.end('s')
     assert not own.tell_all()
+
+
+def test_the_least_urgent_leave_tokens_for_others() -> None:
+    allowance = Allowance()
+    allowance.confirm_limit(20_000)
+    assert not allowance.take_hold(9_000, 12_000)
+    assert allowance.take_hold(8_000, 12_000)
+    assert allowance.take_hold(12_000)
+    assert not allowance.count_room()
