--- a/tests/unit/test_lease_renewals.py
+++ b/tests/unit/test_lease_renewals.py
@@ -14,7 +14,7 @@
 
     def __init__(self) -> None:
         self.written: list[bool] = []
-        self._delay = 0.05
+        self._delays = [0.05, 0]
 
     async def commit(
         self,
@@ -22,8 +22,7 @@
         intents: list[LeaseIntent],
     ) -> list[BudgetAck]:
         """Write a batch; ``ledger`` does not matter here."""
-        if not self.written:
-            await asyncio.sleep(self._delay)
+        await asyncio.sleep(self._delays.pop(0))
         self.written.extend(intent.closing for intent in intents)
         return [_answer(intent) for intent in intents]
 
