Pass lists on by news, let three routers watch, keep lapsed entries 2 s

And after an outage in which the entries of servers lapse, every router dropped all servers until they were listed again, although users say that these are back within two seconds. Change: three routers a kind watch; news tell the store's revision and a digest of the list of servers, and who is behind fetches it from the peer, as it does the configuration, both compressed. A list never goes back to an older revision. A router writes its entry at once (it read it first); the list of routers is read less often in a large fleet. An entry that goes after nobody read the list for 2.5 s stays for 2 s. dependency_lost is logged by the reads that bound the age as well. Tests: test_server_lists (lists from peers, older lists, lapsed entries; the code before forgot lapsed entries at once).

--- a/src/dykemast/_internal/models/news.py
+++ b/src/dykemast/_internal/models/news.py
@@ -31,6 +31,18 @@
     tokens: tuple[int, ...]
 
 
+class ListState(NamedTuple):
+    """What one router knows of a list of objects.
+
+    :param revision: of the store, at which the list was known to be so.
+    :param digest: of the objects' names and revisions; alike where the same
+        objects are known.
+    """
+
+    revision: int = 0
+    digest: int = 0
+
+
 class News(NamedTuple):
     """What one router tells another.
 
@@ -39,6 +51,7 @@
     :param loads: its requests at backend servers.
     :param prompts: prompts sent since the last news.
     :param ages: seconds since a kind of objects was read whole, by kind.
+    :param servers: what it knows of the list of backend servers.
     """
 
     card: PeerCard
@@ -46,3 +59,4 @@
     loads: tuple[ServerLoad, ...]
     prompts: tuple[SentPrompt, ...]
     ages: dict[str, float]
+    servers: ListState
--- a/src/dykemast/_internal/network/fleet.thrift
+++ b/src/dykemast/_internal/network/fleet.thrift
@@ -10,5 +10,7 @@
     // Spare tokens of a workspace's budget, for good.
     i64 lend(1: string workspace, 2: i64 tokens) throws (1: Refused no),
     // The configuration if it is newer; else empty.
+    // The list of backend servers if it is newer; else empty.
+    binary newer_servers(1: i64 above) throws (1: Refused no),
     binary newer_configuration(1: i64 above) throws (1: Refused no),
 }
--- a/src/dykemast/_internal/operations/rendezvous.py
+++ b/src/dykemast/_internal/operations/rendezvous.py
@@ -25,10 +25,21 @@
     :param routers: names of the routers that are thought to be up.
     :returns: one of the names, or nothing when there is none.
     """
-    return max(
+    ranked = rank_keepers(duty, routers)
+    return ranked[0] if ranked else None
+
+
+def rank_keepers(duty: str, routers: Iterable[str]) -> list[str]:
+    """Rank the routers that could keep a duty.
+
+    :param duty: name of the duty.
+    :param routers: names of the routers that are thought to be up.
+    :returns: the names, best first.
+    """
+    return sorted(
         routers,
         key=lambda name: hash_text(f'{duty}|{name}'),
-        default=None,
+        reverse=True,
     )
 
 
--- a/src/dykemast/_internal/serving/board.py
+++ b/src/dykemast/_internal/serving/board.py
@@ -9,7 +9,9 @@
 from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.models.deployment import InstanceSettings
 from dykemast._internal.models.fleet import PeerCard
+from dykemast._internal.models.news import ListState
 from dykemast._internal.models.routing_table import RoutingTable
+from dykemast._internal.platform.store_types import StoreObject
 
 #: Seconds since the last news after which a peer counts as silent: several
 #: rounds of news, of which each reaches some peers only in a large fleet.
@@ -41,7 +43,14 @@
     :param table_raw: the same, as it came; ``serving.configuration``.
     :param checked_at: seconds at which a kind was last read whole, here or
         at a peer whose news arrived; ``serving.freshness``.
+    :param revisions: of the store, by kind, up to which changes are known;
+        ``serving.configuration`` and ``serving.backends``.
     :param servers: backend servers by id; ``serving.backends``.
+    :param server_objects: their entries as the store holds them, by id;
+        ``serving.backends``.
+    :param server_state: how far these are known; ``serving.backends``.
+    :param lapsed: seconds until which a server stays whose entry lapsed
+        while the store was away, by id; ``serving.backends``.
     :param leaving: ids of servers that are leaving; only ever grows while
         they are listed; ``serving.backends`` and ``serving.gossip``.
     :param peers: other routers by instance; ``serving.members`` adds and
@@ -50,7 +59,7 @@
     :param stopping: whether this router is about to end;
         ``serving.runtime``.
     :param store_away_since: seconds since when the store does not answer,
-        0 while it does; ``serving.followers``.
+        0 while it does; ``serving.store_state``.
     """
 
     settings: InstanceSettings
@@ -61,7 +70,13 @@
     )
     table_raw: bytes = b''
     checked_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    revisions: dict[str, int] = dataclasses.field(default_factory=dict)
     servers: dict[str, BackendServer] = dataclasses.field(default_factory=dict)
+    server_objects: dict[str, StoreObject] = dataclasses.field(
+        default_factory=dict
+    )
+    server_state: ListState = ListState()
+    lapsed: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving: set[str] = dataclasses.field(default_factory=set)
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     inflight: int = 0
--- a/src/dykemast/_internal/serving/configuration.py
+++ b/src/dykemast/_internal/serving/configuration.py
@@ -1,5 +1,6 @@
 """Keep the newest configuration in force."""
 
+import zlib
 from typing import Final
 
 import msgspec
@@ -18,6 +19,7 @@
 
 #: Seconds in which changes gather; users allow 2 s until one is in force.
 WATCH_PAUSE: Final = 0.2
+_NOT_USABLE: Final = (KeyError, TypeError, ValueError, zlib.error)
 
 
 def make_follower(board: ServingBoard) -> Follower:
@@ -34,8 +36,16 @@
     def ignore(_: object) -> None:
         """Keep a configuration in force that is gone from the store."""
 
+    def note_revision(revision: int) -> None:
+        board.revisions[CONFIGURATION_KIND] = revision
+
     return Follower(
-        CONFIGURATION_KIND, take_object, ignore, ignore, WATCH_PAUSE
+        CONFIGURATION_KIND,
+        take_object,
+        ignore,
+        ignore,
+        note_revision,
+        WATCH_PAUSE,
     )
 
 
@@ -57,7 +67,8 @@
         return
     board.table = table
     board.table_changed.set()
-    board.table_raw = msgspec.msgpack.encode(stored)
+    # Links may be narrow, and routes are much alike.
+    board.table_raw = zlib.compress(msgspec.msgpack.encode(stored))
     _log(
         'configuration_in_force',
         version=table.version,
@@ -80,10 +91,10 @@
     """
     try:
         _decode_and_take(board, body, peer)
-    except (KeyError, TypeError, ValueError) as error:
+    except _NOT_USABLE as error:
         _log('configuration_not_usable', peer=peer, reason=str(error))
 
 
 def _decode_and_take(board: ServingBoard, body: bytes, peer: str) -> None:
-    stored = msgspec.msgpack.decode(body, type=StoreObject)
+    stored = msgspec.msgpack.decode(zlib.decompress(body), type=StoreObject)
     take_configuration(board, stored, peer)
--- a/src/dykemast/_internal/serving/follower.py
+++ b/src/dykemast/_internal/serving/follower.py
@@ -20,6 +20,8 @@
     :param take_object: called for each object that is new or changed.
     :param take_names: called with the names of all objects after a listing.
     :param drop_object: called with the name of an object that is gone.
+    :param note_revision: called with the store's revision up to which all
+        changes have been taken.
     :param pause: seconds after an answer of a watch in which further changes
         gather, so that many of them make one call.
     """
@@ -28,6 +30,7 @@
     take_object: Callable[[StoreObject], None]
     take_names: Callable[[set[str]], None]
     drop_object: Callable[[str], None]
+    note_revision: Callable[[int], None]
     pause: float = 0
 
 
@@ -40,6 +43,7 @@
     for stored in listing.found:
         _take(follower, stored)
     follower.take_names({one.name for one in listing.found})
+    follower.note_revision(listing.revision)
 
 
 def take_changes(follower: Follower, changes: Changes) -> None:
@@ -53,6 +57,7 @@
             follower.drop_object(event.changed.name)
         else:
             _take(follower, event.changed)
+    follower.note_revision(changes.revision)
 
 
 def _take(follower: Follower, stored: StoreObject) -> None:
--- a/src/dykemast/_internal/serving/followers.py
+++ b/src/dykemast/_internal/serving/followers.py
@@ -1,22 +1,36 @@
-"""Follow the objects of one kind in the store."""
+"""Follow the objects of one kind in the store.
+
+Each answer of a watch is a priced call, so that a change would cost as many
+calls as there are routers. A few of them watch, and all others learn by news
+(``serving.gossip``); ``serving.freshness`` bounds how late that may be.
+"""
 
 import asyncio
 import random
-import time
 from typing import Final
 
 from dykemast._internal.exceptions import HistoryLostError, PlatformError
 from dykemast._internal.platform.objects import ObjectStore
-from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.operations.rendezvous import rank_keepers
+from dykemast._internal.serving.board import ServingBoard, list_heard
 from dykemast._internal.serving.follower import (
     Follower,
     take_changes,
     take_listing,
 )
+from dykemast._internal.serving.store_state import note_lost, note_regained
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('store')
 
+#: Routers that watch a kind. Any one would do; three of them, as some may be
+#: cut off from the store and still be heard by peers.
+MAX_WATCHERS: Final = 3
+#: Seconds after the start until peers are known: the list of them is read
+#: anew after 1.5 s.
+MEETING_TIME: Final = 2.0
+#: Seconds between two looks whether this router should watch.
+TURN_PAUSE: Final = 1.0
 #: Seconds before the first try after a failure, and at most.
 FIRST_PAUSE: Final = 0.1
 MAX_PAUSE: Final = 0.5
@@ -27,58 +41,63 @@
     store: ObjectStore,
     follower: Follower,
 ) -> None:
-    """List a kind and watch it, for ever.
+    """Watch a kind whenever it is this router's turn, for ever.
 
-    What is known stays in force while the store does not answer.
+    The first listing is read by ``serving.freshness``. What is known stays
+    in force while the store does not answer.
 
     :param board: the blackboard.
     :param store: the object store.
     :param follower: what to do with the objects.
     """
     pause = FIRST_PAUSE
-    revision = None
+    # While no peer is known, every router would watch.
+    await asyncio.sleep(MEETING_TIME)
     while True:
+        await _wait_for_turn(board, follower.kind)
         try:
-            revision = await _advance(store, follower, revision)
+            await _advance(board, store, follower)
         except HistoryLostError as error:
             _log('history_lost', kind=follower.kind, reason=str(error))
-            revision = None
+            board.revisions.pop(follower.kind, None)
         except PlatformError as error:
-            _note_lost(board, follower, error)
+            note_lost(board, follower.kind, error)
             await asyncio.sleep(pause * random.uniform(1, 2))
             pause = min(MAX_PAUSE, 2 * pause)
         else:
-            _note_regained(board, follower)
+            note_regained(board, follower.kind)
             pause = FIRST_PAUSE
 
 
+async def _wait_for_turn(board: ServingBoard, kind: str) -> None:
+    while not has_turn(board, kind):
+        await asyncio.sleep(TURN_PAUSE)
+
+
+def has_turn(board: ServingBoard, kind: str) -> bool:
+    """Tell whether this router is one of those that watch a kind.
+
+    :param board: the blackboard.
+    :param kind: the kind.
+    :returns: whether it is.
+    """
+    heard = [peer.card.instance for peer in list_heard(board)]
+    names = [board.settings.name, *heard]
+    watchers = rank_keepers(kind, names)[:MAX_WATCHERS]
+    return board.settings.name in watchers
+
+
 async def _advance(
+    board: ServingBoard,
     store: ObjectStore,
     follower: Follower,
-    revision: int | None,
-) -> int:
+) -> None:
+    revision = board.revisions.get(follower.kind)
     if revision is None:
-        listing = await store.list_kind(follower.kind)
-        take_listing(follower, listing)
-        return listing.revision
+        take_listing(follower, await store.list_kind(follower.kind))
+        return
     changes = await store.watch(follower.kind, revision)
-    take_changes(follower, changes)
+    if changes.revision >= board.revisions.get(follower.kind, 0):
+        # Else a read told more while this watch was waiting.
+        take_changes(follower, changes)
     await asyncio.sleep(follower.pause)
-    return changes.revision
-
-
-def _note_lost(
-    board: ServingBoard,
-    follower: Follower,
-    error: PlatformError,
-) -> None:
-    if not board.store_away_since:
-        board.store_away_since = time.monotonic()
-        _log('dependency_lost', kind=follower.kind, reason=str(error))
-
-
-def _note_regained(board: ServingBoard, follower: Follower) -> None:
-    if board.store_away_since:
-        away = time.monotonic() - board.store_away_since
-        _log('dependency_regained', kind=follower.kind, away_s=round(away, 3))
-        board.store_away_since = 0
--- a/src/dykemast/_internal/serving/freshness.py
+++ b/src/dykemast/_internal/serving/freshness.py
@@ -7,16 +7,13 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
 from typing import Final, NamedTuple
 
 from dykemast._internal.exceptions import PlatformError
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.serving.board import ServingBoard, list_heard
 from dykemast._internal.serving.follower import Follower, take_listing
-from dykemast._internal.utils.events import make_logger
-
-_log = make_logger('freshness')
+from dykemast._internal.serving.store_state import note_lost, note_regained
 
 #: Seconds between two looks.
 _PAUSE: Final = 0.1
@@ -68,16 +65,16 @@
     return {kind: now - at for kind, at in board.checked_at.items()}
 
 
-def note_ages(board: ServingBoard, ages: Mapping[str, float]) -> None:
+def note_age(board: ServingBoard, kind: str, age: float | None) -> None:
     """Take over that a peer read a kind, and what it found.
 
     :param board: the blackboard; it knows what the peer found already.
-    :param ages: seconds by kind.
+    :param kind: the kind.
+    :param age: seconds since the peer read it; None for never.
     """
-    now = time.monotonic()
-    for kind, age in ages.items():
+    if age is not None:
         known = board.checked_at.get(kind, 0)
-        board.checked_at[kind] = max(known, now - age)
+        board.checked_at[kind] = max(known, time.monotonic() - age)
 
 
 def _choose_age(board: ServingBoard) -> float:
@@ -101,9 +98,11 @@
     try:
         listing = await store.list_kind(follower.kind)
     except PlatformError as error:
-        if not board.store_away_since:
-            _log('not_read', kind=follower.kind, reason=str(error))
+        note_lost(board, follower.kind, error)
         await asyncio.sleep(RETRY_PAUSE)
         return
-    take_listing(follower, listing)
+    note_regained(board, follower.kind)
+    if listing.revision >= board.revisions.get(follower.kind, 0):
+        # Else a watch or a peer told more while this was under way.
+        take_listing(follower, listing)
     board.checked_at[follower.kind] = started
--- a/src/dykemast/_internal/serving/gossip.py
+++ b/src/dykemast/_internal/serving/gossip.py
@@ -9,8 +9,8 @@
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.network.peer_client import PeerClient
 from dykemast._internal.network.peer_codec import load_idl
-from dykemast._internal.serving import configuration
 from dykemast._internal.serving.board import Peer, ServingBoard, note_silent
+from dykemast._internal.serving.peer_fetches import catch_up
 from dykemast._internal.serving.peer_news import NewsDesk
 from dykemast._internal.utils.events import make_logger
 
@@ -41,16 +41,23 @@
         self._desk = desk
         self._client = PeerClient(None, fleet_idl.Fleet)
 
-    async def call(self, card: PeerCard, method: str, *words: Any) -> Any:
+    async def call(
+        self,
+        card: PeerCard,
+        method: str,
+        *words: Any,
+        timeout: float = CALL_TIMEOUT,
+    ) -> Any:
         """Call a peer.
 
         :param card: the peer.
         :param method: name of the call in the interface definition.
         :param words: its arguments.
+        :param timeout: seconds to wait.
         :returns: the answer.
         :raises PeerError: when there was none, or it was refused.
         """
-        return await self._client.call(card, method, words, CALL_TIMEOUT)
+        return await self._client.call(card, method, words, timeout)
 
     def close(self) -> None:
         """Close all connections to peers."""
@@ -68,9 +75,9 @@
         except PeerError as error:
             _note_lost(self._board, peer, error)
             return
-        self._desk.take_news(body)
-        if peer.card.revision > self._board.count_version():
-            await _fetch_configuration(self, self._board, peer.card)
+        news = self._desk.take_news(body)
+        if news:
+            await catch_up(self.call, self._board, news)
 
 
 async def spread_news(board: ServingBoard, gossip: Gossip) -> None:
@@ -103,21 +110,6 @@
     return random.sample(due, min(PEERS_A_ROUND, len(due)))
 
 
-async def _fetch_configuration(
-    gossip: Gossip,
-    board: ServingBoard,
-    card: PeerCard,
-) -> None:
-    newest = board.count_version()
-    try:
-        body = await gossip.call(card, 'newer_configuration', newest)
-    except PeerError as error:
-        _log('no_configuration', peer=card.instance, reason=str(error))
-        return
-    if body:
-        configuration.take_from_peer(board, body, card.instance)
-
-
 def _note_lost(board: ServingBoard, peer: Peer, error: PeerError) -> None:
     if note_silent(board, peer):
         _log('peer_lost', peer=peer.card.instance, reason=str(error))
--- a/src/dykemast/_internal/serving/loops.py
+++ b/src/dykemast/_internal/serving/loops.py
@@ -44,6 +44,7 @@
         keep_fresh(board, store, Checked(servers, SERVERS_AGE)),
         follow_kind(board, store, tables),
         follow_kind(board, store, servers),
+        backends.forget_lapsed(board),
         members.keep_listed(board, store),
         gossip.spread_news(board, assembly.links.gossip),
         budget_upkeep.follow_table(assembly.upkeep),
--- a/src/dykemast/_internal/serving/members.py
+++ b/src/dykemast/_internal/serving/members.py
@@ -6,9 +6,13 @@
 
 import msgspec
 
-from dykemast._internal.exceptions import PlatformError
+from dykemast._internal.exceptions import (
+    PlatformError,
+    VersionConflictError,
+)
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.platform.objects import ObjectStore
+from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.serving.board import Peer, ServingBoard
 from dykemast._internal.utils.events import make_logger
 
@@ -23,6 +27,9 @@
 #: Seconds between two reads of the list later on: each is a priced call, and
 #: silence of a router that left is noticed without it.
 READ_PAUSE: Final = 15.0
+#: Seconds a peer by which that is longer, so that the calls of a large fleet
+#: are no more than those of a small one.
+READ_PAUSE_PER_PEER: Final = 2.0
 
 
 async def keep_listed(board: ServingBoard, store: ObjectStore) -> None:
@@ -40,7 +47,7 @@
     while True:
         await _try(_read_peers(board, store))
         await asyncio.sleep(pause)
-        pause = READ_PAUSE
+        pause = max(READ_PAUSE, READ_PAUSE_PER_PEER * len(board.peers))
 
 
 def meet_peer(board: ServingBoard, card: PeerCard) -> None:
@@ -65,10 +72,13 @@
     :raises PlatformError: when it failed.
     """
     name = board.settings.name
-    # There may be the entry of the process before on this instance.
-    before = await store.read(MEMBER_KIND, name)
-    card = msgspec.to_builtins(board.make_card())
-    await store.write(MEMBER_KIND, before._replace(spec=card))
+    entry = StoreObject(name, 0, msgspec.to_builtins(board.make_card()))
+    try:
+        await store.write(MEMBER_KIND, entry)
+    except VersionConflictError:
+        # There is the entry of the process before on this instance.
+        before = await store.read(MEMBER_KIND, name)
+        await store.write(MEMBER_KIND, before._replace(spec=entry.spec))
 
 
 async def _read_peers(board: ServingBoard, store: ObjectStore) -> None:
--- a/src/dykemast/_internal/serving/peer_calls.py
+++ b/src/dykemast/_internal/serving/peer_calls.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 from dykemast._internal.network.peer_server import listen
+from dykemast._internal.serving import server_lists
 from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.serving.gossip import fleet_idl
 from dykemast._internal.serving.peer_news import NewsDesk
@@ -17,6 +18,7 @@
     exchange: Callable[[bytes], Awaitable[bytes]]
     lend: Lend
     newer_configuration: Callable[[int], Awaitable[bytes]]
+    newer_servers: Callable[[int], Awaitable[bytes]]
 
 
 async def open_peer_server(
@@ -39,6 +41,9 @@
     async def newer_configuration(above: int) -> bytes:
         return board.table_raw if board.count_version() > above else b''
 
+    async def newer_servers(above: int) -> bytes:
+        return server_lists.write_newer(board, above)
+
     endpoint = board.settings.listeners.peer
-    calls = _Calls(exchange, lend, newer_configuration)
+    calls = _Calls(exchange, lend, newer_configuration, newer_servers)
     return await listen(fleet_idl.Fleet, calls, endpoint.host, endpoint.port)
--- /dev/null
+++ b/src/dykemast/_internal/serving/peer_fetches.py
@@ -0,0 +1,53 @@
+"""Fetch from a peer what its news show to be newer than what is known."""
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from dykemast._internal.exceptions import PeerError
+from dykemast._internal.models.fleet import PeerCard
+from dykemast._internal.models.news import News
+from dykemast._internal.serving import configuration, server_lists
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.peer_news import note_ages
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('gossip')
+
+#: Seconds to wait for what may be some 100 KB, over a link of 5 Mbit/s.
+FETCH_TIMEOUT: Final = 1.0
+
+#: Calls a peer; takes its card, the call's name, arguments and ``timeout``.
+Call = Callable[..., Awaitable[bytes]]
+
+
+async def catch_up(call: Call, board: ServingBoard, news: News) -> None:
+    """Fetch what a peer knows and this router does not.
+
+    :param call: calls a peer.
+    :param board: the blackboard.
+    :param news: the peer's.
+    """
+    card = news.card
+    if card.revision > board.count_version():
+        body = await _fetch(
+            call, card, 'newer_configuration', board.count_version()
+        )
+        if body:
+            configuration.take_from_peer(board, body, card.instance)
+    if server_lists.is_behind(board, news.servers):
+        known = board.server_state.revision
+        body = await _fetch(call, card, 'newer_servers', known)
+        if body:
+            server_lists.take_from_peer(board, body, card.instance)
+    note_ages(board, news)
+
+
+async def _fetch(call: Call, card: PeerCard, method: str, above: int) -> bytes:
+    """Fetch what is newer; empty when there is nothing, or no answer."""
+    try:
+        return await call(card, method, above, timeout=FETCH_TIMEOUT)
+    except PeerError as error:
+        # Another peer has it as well, and a read of the store bounds how
+        # late it may be.
+        _log('not_fetched', peer=card.instance, what=method, reason=str(error))
+        return b''
--- a/src/dykemast/_internal/serving/peer_news.py
+++ b/src/dykemast/_internal/serving/peer_news.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from dykemast._internal.models.news import News
+from dykemast._internal.platform.configuration import CONFIGURATION_KIND
+from dykemast._internal.platform.servers import SERVER_KIND
 from dykemast._internal.serving import backends, freshness, members
 from dykemast._internal.serving.board import ServingBoard, is_silent
 from dykemast._internal.serving.loads import Loads
@@ -36,20 +38,23 @@
             loads=self._loads.own.tell_all(),
             prompts=self._loads.caches.tell(time.monotonic()),
             ages=freshness.tell_ages(self._board),
+            servers=self._board.server_state,
         )
         return msgspec.msgpack.encode(news)
 
-    def take_news(self, body: bytes) -> None:
+    def take_news(self, body: bytes) -> News | None:
         """Take a peer's news; those that make no sense are logged.
 
         :param body: as it wrote them.
+        :returns: the news; None when they are of no use.
         """
         try:
             news = msgspec.msgpack.decode(body, type=News)
         except msgspec.MsgspecError as error:
             _log('news_not_usable', reason=str(error))
-        else:
-            self._take(news)
+            return None
+        self._take(news)
+        return news
 
     def _take(self, news: News) -> None:
         card = news.card
@@ -64,6 +69,19 @@
         backends.note_leaving(self._board, news.leaving, card.instance)
         self._loads.peers.take(card.instance, news.loads, peer.heard_at)
         self._loads.caches.take(news.prompts)
-        if self._board.count_version() >= card.revision:
-            # Else the newer configuration has to be fetched first.
-            freshness.note_ages(self._board, news.ages)
+        note_ages(self._board, news)
+
+
+def note_ages(board: ServingBoard, news: News) -> None:
+    """Take over when a peer read what this router knows as well.
+
+    :param board: the blackboard.
+    :param news: the peer's.
+    """
+    ages = news.ages
+    if board.count_version() >= news.card.revision:
+        # Else the newer configuration has to be fetched first.
+        kind = CONFIGURATION_KIND
+        freshness.note_age(board, kind, ages.get(kind))
+    if board.server_state.digest == news.servers.digest:
+        freshness.note_age(board, SERVER_KIND, ages.get(SERVER_KIND))
--- /dev/null
+++ b/src/dykemast/_internal/serving/server_lists.py
@@ -0,0 +1,64 @@
+"""Pass the list of backend servers from router to router."""
+
+import zlib
+
+import msgspec
+
+from dykemast._internal.models.news import ListState
+from dykemast._internal.platform.store_types import Listing
+from dykemast._internal.serving.backends import make_follower
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.follower import take_listing
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('backends')
+
+
+def is_behind(board: ServingBoard, state: ListState) -> bool:
+    """Tell whether a peer knows a newer list that differs.
+
+    :param board: the blackboard.
+    :param state: what the peer knows.
+    :returns: whether it should be fetched.
+    """
+    own = board.server_state
+    return state.revision > own.revision and state.digest != own.digest
+
+
+def write_newer(board: ServingBoard, above: int) -> bytes:
+    """Write the list for a peer.
+
+    :param board: the blackboard.
+    :param above: revision that the peer knows.
+    :returns: the body; empty when this router knows no newer one.
+    """
+    revision = board.server_state.revision
+    if revision <= above:
+        return b''
+    listing = Listing(list(board.server_objects.values()), revision)
+    # Links may be narrow, and entries are much alike.
+    return zlib.compress(msgspec.msgpack.encode(listing))
+
+
+def take_from_peer(board: ServingBoard, body: bytes, peer: str) -> None:
+    """Take a peer's list if it is newer.
+
+    One that makes no sense is logged; the list before stays in force.
+
+    :param board: the blackboard.
+    :param body: as the peer wrote it.
+    :param peer: its instance.
+    """
+    try:
+        listing = msgspec.msgpack.decode(zlib.decompress(body), type=Listing)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        _log('servers_not_usable', peer=peer, reason=str(error))
+        return
+    if listing.revision > board.server_state.revision:
+        take_listing(make_follower(board), listing)
+        _log(
+            'servers_from_peer',
+            peer=peer,
+            revision=listing.revision,
+            servers=len(listing.found),
+        )
--- /dev/null
+++ b/src/dykemast/_internal/serving/store_state.py
@@ -0,0 +1,33 @@
+"""Whether the store answers this router."""
+
+import time
+
+from dykemast._internal.exceptions import PlatformError
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('store')
+
+
+def note_lost(board: ServingBoard, kind: str, error: PlatformError) -> None:
+    """Take note that a call failed.
+
+    :param board: the blackboard.
+    :param kind: the kind of objects that it was about.
+    :param error: how it failed.
+    """
+    if not board.store_away_since:
+        board.store_away_since = time.monotonic()
+        _log('dependency_lost', kind=kind, reason=str(error))
+
+
+def note_regained(board: ServingBoard, kind: str) -> None:
+    """Take note that a call was answered.
+
+    :param board: the blackboard.
+    :param kind: the kind of objects that it was about.
+    """
+    if board.store_away_since:
+        away = time.monotonic() - board.store_away_since
+        _log('dependency_regained', kind=kind, away_s=round(away, 3))
+        board.store_away_since = 0
--- /dev/null
+++ b/tests/lib/serving_boards.py
@@ -0,0 +1,45 @@
+"""Blackboards of routers that run nowhere."""
+
+import time
+
+from dykemast._internal.models.deployment import (
+    Bounds,
+    Endpoint,
+    InstanceSettings,
+    Listeners,
+)
+from dykemast._internal.serving.board import Peer, ServingBoard
+
+HOST = '127.0.0.1'
+
+
+def make_endpoint(port: int) -> Endpoint:
+    """Make an address that nobody listens on."""
+    return Endpoint(HOST, port)
+
+
+def make_board(name: str = 'node-0') -> ServingBoard:
+    """Make the blackboard of one router."""
+    listeners = Listeners(*map(make_endpoint, range(1, 6)))
+    settings = InstanceSettings(
+        name=name,
+        hall='north',
+        listeners=listeners,
+        store=make_endpoint(6),
+        bounds=Bounds(8, 0.2, 52, 10, 5),
+        max_connections=100,
+    )
+    return ServingBoard(settings=settings, incarnation=f'{name}/1')
+
+
+def make_boards(count: int) -> list[ServingBoard]:
+    """Make blackboards of routers that all heard of each other just now."""
+    boards = [make_board(f'node-{number}') for number in range(count)]
+    now = time.monotonic()
+    for board in boards:
+        board.peers = {
+            other.settings.name: Peer(other.make_card(), now)
+            for other in boards
+            if other is not board
+        }
+    return boards
--- /dev/null
+++ b/tests/unit/test_server_lists.py
@@ -0,0 +1,114 @@
+"""The list of backend servers: from the store, from peers, and lapsed."""
+
+import asyncio
+import contextlib
+import time
+
+from dykemast._internal.platform.servers import SERVER_KIND
+from dykemast._internal.platform.store_types import Listing, StoreObject
+from dykemast._internal.serving import server_lists
+from dykemast._internal.serving.backends import (
+    AWAY_GAP,
+    LAPSE_PAUSE,
+    LAPSE_TIME,
+    forget_lapsed,
+    list_usable,
+    make_follower,
+)
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.follower import take_listing
+from dykemast._internal.serving.followers import MAX_WATCHERS, has_turn
+from tests.lib.serving_boards import make_board, make_boards
+
+
+def make_entry(name: str, revision: int, state: str = 'ready') -> StoreObject:
+    spec = {
+        'service': 'lm',
+        'address': '127.0.0.1:9',
+        'zone': 'north',
+        'slots': 4,
+        'state': state,
+    }
+    return StoreObject(name, revision, spec)
+
+
+def read_list(board: ServingBoard, revision: int, *found: StoreObject) -> None:
+    take_listing(make_follower(board), Listing(list(found), revision))
+
+
+def list_names(board: ServingBoard) -> set[str]:
+    return {server.name for server in list_usable(board, 'lm')}
+
+
+def make_known(read_ago: float) -> ServingBoard:
+    """Make a board that knows two servers, one of which is leaving."""
+    board = make_board()
+    leaving = make_entry('c', 3, 'draining')
+    read_list(board, 9, make_entry('a', 1), make_entry('b', 2), leaving)
+    board.checked_at[SERVER_KIND] = time.monotonic() - read_ago
+    return board
+
+
+def test_an_entry_that_goes_while_the_store_answers_is_gone() -> None:
+    board = make_known(read_ago=1)
+    read_list(board, 10, make_entry('a', 1))
+    assert list_names(board) == {'a'}
+
+
+def test_entries_that_lapsed_while_the_store_was_away_stay_a_while() -> None:
+    # All entries are gone after an outage of some seconds, and most are
+    # back within two: no router may be without a server meanwhile.
+    board = make_known(read_ago=AWAY_GAP + 1)
+    read_list(board, 10)
+    assert list_names(board) == {'a', 'b'}
+    assert set(board.lapsed) == {'a', 'b'}
+    assert 'c' not in board.servers, 'it was leaving already'
+    read_list(board, 11, make_entry('a', 11))
+    assert set(board.lapsed) == {'b'}
+
+
+def test_a_lapsed_entry_that_does_not_come_back_is_gone() -> None:
+    board = make_known(read_ago=AWAY_GAP + 1)
+    read_list(board, 10, make_entry('a', 1))
+    assert board.lapsed['b'] <= time.monotonic() + LAPSE_TIME
+    board.lapsed['b'] = 0
+
+    async def look_once() -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(2 * LAPSE_PAUSE):
+                await forget_lapsed(board)
+
+    asyncio.run(look_once())
+    assert list_names(board) == {'a'}
+    assert not board.lapsed
+
+
+def test_a_newer_list_passes_from_router_to_router() -> None:
+    first, second = make_board('node-0'), make_board('node-1')
+    read_list(first, 9, make_entry('a', 1))
+    read_list(second, 8, make_entry('b', 2))
+    second.checked_at[SERVER_KIND] = time.monotonic()
+    assert server_lists.is_behind(second, first.server_state)
+    assert not server_lists.is_behind(first, second.server_state)
+    body = server_lists.write_newer(first, second.server_state.revision)
+    server_lists.take_from_peer(second, body, 'node-0')
+    assert list_names(second) == {'a'}
+    assert second.server_state == first.server_state
+    assert not server_lists.write_newer(first, 9)
+
+
+def test_an_older_list_or_none_changes_nothing() -> None:
+    first, second = make_board('node-0'), make_board('node-1')
+    read_list(first, 9, make_entry('a', 1))
+    body = server_lists.write_newer(first, 0)
+    read_list(second, 10, make_entry('b', 2))
+    server_lists.take_from_peer(second, body, 'node-0')
+    server_lists.take_from_peer(second, b'no list', 'node-0')
+    assert list_names(second) == {'b'}
+
+
+def test_a_few_routers_watch_for_all() -> None:
+    boards = make_boards(20)
+    watching = [has_turn(board, SERVER_KIND) for board in boards]
+    assert sum(watching) == MAX_WATCHERS
+    assert has_turn(make_board(), SERVER_KIND), 'alone'
