--- a/src/dykemast/_internal/network/fleet.thrift
+++ b/src/dykemast/_internal/network/fleet.thrift
@@ -7,8 +7,9 @@
 
 service Fleet {
     binary exchange(1: binary news) throws (1: Refused no),
-    // Spare tokens of a workspace's budget, for good.
-    i64 lend(1: string workspace, 2: i64 tokens) throws (1: Refused no),
+    // Spare tokens of a workspace's budget, for good, to a router.
+    i64 lend(1: string workspace, 2: i64 tokens, 3: string borrower)
+        throws (1: Refused no),
     // The configuration if it is newer; else empty.
     // The list of backend servers if it is newer; else empty.
     binary newer_servers(1: i64 above) throws (1: Refused no),
--- a/src/dykemast/_internal/serving/accounts.py
+++ b/src/dykemast/_internal/serving/accounts.py
@@ -22,6 +22,9 @@
 
 #: Kind of the objects that hold the budgets.
 BUDGET_KIND: Final = 'dykemast-budgets'
+#: Seconds for which a budget without free tokens is not written again to get
+#: some: others give back when their routers end, or at a new configuration.
+EMPTY_TIME: Final = 1.0
 
 
 @dataclasses.dataclass
@@ -32,6 +35,8 @@
     :param identity: who this router is.
     :param allowance: what it may consume.
     :param demand: tokens that requests asked for.
+    :param lent_to: tokens lent to other routers and not got back from them,
+        by instance.
     :param pending: tokens that requests are waiting for.
     :param search: looks for tokens now, unless it is done.
     :param shortage: the last hold that was refused.
@@ -45,6 +50,7 @@
     identity: Identity
     allowance: Allowance = dataclasses.field(default_factory=Allowance)
     demand: Demand = dataclasses.field(default_factory=Demand)
+    lent_to: dict[str, int] = dataclasses.field(default_factory=dict)
     pending: int = 0
     search: asyncio.Task[Any] | None = None
     shortage: Shortage = Shortage()
@@ -62,6 +68,18 @@
             return False
         return tokens >= self.shortage.tokens
 
+    def may_gain(self, terms: Terms) -> bool:
+        """Tell whether a write of the row may bring any tokens.
+
+        :param terms: what bounds the row.
+        :returns: False if the store had none a moment ago.
+        """
+        if self.ledger is None or self.ledger.count_free() > 0:
+            return True
+        if self.ledger.version < terms.version:
+            return True
+        return time.monotonic() > self.written_at + EMPTY_TIME
+
     def end_waiting(self, tokens: int) -> None:
         """Note that a request waits no more.
 
@@ -123,6 +141,17 @@
         return spare_size.measure_spare(ledger, self.identity, routers)
 
 
+def note_lent(account: Account, borrower: str, tokens: int) -> None:
+    """Note that tokens were lent to another router, or came back.
+
+    :param account: the budget.
+    :param borrower: its instance.
+    :param tokens: how many; negative when they came from it.
+    """
+    before = account.lent_to.get(borrower, 0)
+    account.lent_to[borrower] = before + tokens
+
+
 def _decode_ledger(stored: StoreObject) -> BudgetLedger | None:
     if not stored.revision:
         return None
--- a/src/dykemast/_internal/serving/budgets.py
+++ b/src/dykemast/_internal/serving/budgets.py
@@ -5,7 +5,7 @@
 
 from dykemast._internal.models.routing_table import Workspace
 from dykemast._internal.operations.allowance_terms import Identity
-from dykemast._internal.serving.accounts import Account
+from dykemast._internal.serving.accounts import Account, note_lent
 from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.serving.budget_keepers import keeps
 from dykemast._internal.serving.fleet_size import is_large
@@ -68,7 +68,7 @@
         """
         account = self.open_account(workspace.name)
         account.demand.note(tokens, time.monotonic())
-        reserve = URGENT_RESERVE if priority >= LATER_PRIORITY else 0
+        reserve = self._choose_reserve(priority)
         if not account.allowance.take_hold(tokens, reserve):
             await self._search.wait_for_tokens(account, tokens, reserve)
         return Hold(workspace.name, tokens)
@@ -83,17 +83,24 @@
         account.allowance.held -= hold.tokens
         account.allowance.spent += min(used, hold.tokens)
 
-    async def lend(self, workspace: str, tokens: int) -> int:
+    async def lend(self, workspace: str, tokens: int, borrower: str) -> int:
         """Give spare tokens to another router.
 
         :param workspace: whose budget they are of.
         :param tokens: how many it wants.
+        :param borrower: its instance.
         :returns: how many it gets.
         """
         account = self.open_account(workspace)
-        if is_large(self._board):
+        if is_large(self._board) and keeps(self._board, workspace):
             account.demand.note(tokens, time.monotonic())
-            short = account.allowance.count_room() < tokens
-            if short and keeps(self._board, workspace):
+            if account.allowance.count_room() < tokens:
                 await self._search.refill(account, tokens)
-        return account.allowance.lend(tokens)
+        given = account.allowance.lend(tokens)
+        note_lent(account, borrower, given)
+        return given
+
+    def _choose_reserve(self, priority: int) -> int:
+        # In a large fleet, as much at each router would be all there is.
+        urgent = priority < LATER_PRIORITY
+        return 0 if urgent or is_large(self._board) else URGENT_RESERVE
--- a/src/dykemast/_internal/serving/loans.py
+++ b/src/dykemast/_internal/serving/loans.py
@@ -1,11 +1,13 @@
 """Borrow spare tokens of a budget from other routers."""
 
 import asyncio
+import collections
+import random
 from typing import Final
 
 from dykemast._internal.exceptions import PeerError
 from dykemast._internal.models.fleet import PeerCard
-from dykemast._internal.serving.accounts import Account
+from dykemast._internal.serving.accounts import Account, note_lent
 from dykemast._internal.serving.gossip import Gossip
 from dykemast._internal.utils.events import make_logger
 
@@ -39,13 +41,19 @@
 def choose_lenders(peers: list[PeerCard], account: Account) -> list[PeerCard]:
     """Choose peers that may have spare tokens, the richest first.
 
+    These are routers with rows of their own, and those that this one lent
+    tokens to. Who keeps a budget since a moment ago knows neither, and asks
+    some at random.
+
     :param peers: those that answer.
     :param account: the budget.
     :returns: their cards.
     """
     rows = account.ledger.rows.values() if account.ledger else ()
-    spare = {row.instance: row.limit - row.charged for row in rows}
-    lenders = [card for card in peers if spare.get(card.instance)]
+    spare = collections.Counter(account.lent_to)
+    for row in rows:
+        spare[row.instance] += row.limit - row.charged
+    lenders = random.sample(peers, len(peers))
     lenders.sort(key=lambda card: -spare[card.instance])
     return lenders[:MAX_LENDERS]
 
@@ -65,13 +73,20 @@
     :returns: whether it answered.
     """
     try:
-        given = await gossip.call(card, 'lend', account.workspace, missing)
+        given = await gossip.call(
+            card,
+            'lend',
+            account.workspace,
+            missing,
+            account.identity.instance,
+        )
     except PeerError as error:
         # If it lent without an answer, the tokens are lost rather than
         # used twice.
         _log('loan_failed', peer=card.instance, reason=str(error))
         return False
     account.allowance.borrowed += given
+    note_lent(account, card.instance, -given)
     _log(
         'tokens_borrowed',
         workspace=account.workspace,
--- a/src/dykemast/_internal/serving/peer_calls.py
+++ b/src/dykemast/_internal/serving/peer_calls.py
@@ -9,7 +9,7 @@
 from dykemast._internal.serving.gossip import fleet_idl
 from dykemast._internal.serving.peer_news import NewsDesk
 
-Lend = Callable[[str, int], Awaitable[int]]
+Lend = Callable[[str, int, str], Awaitable[int]]
 
 
 class _Calls(NamedTuple):
--- a/src/dykemast/_internal/serving/token_source.py
+++ b/src/dykemast/_internal/serving/token_source.py
@@ -38,7 +38,8 @@
         """
         if is_large(self._board) and await self._ask_keeper(account):
             return
-        if self._writer.may_try():
+        terms = self._writer.read_terms(account.workspace)
+        if self._writer.may_try() and account.may_gain(terms):
             await self._writer.write(account)
         if account.pending > account.allowance.count_room():
             peers = [peer.card for peer in list_heard(self._board)]
--- /dev/null
+++ b/tests/unit/test_loans.py
@@ -0,0 +1,83 @@
+"""Tokens of a budget that routers of a large fleet lend each other."""
+
+import asyncio
+import time
+
+from dykemast._internal.models.budget_ledger import BudgetLedger, LedgerRow
+from dykemast._internal.models.routing_table import Workspace
+from dykemast._internal.operations.allowance_terms import Identity, Terms
+from dykemast._internal.serving.accounts import EMPTY_TIME, Account, note_lent
+from dykemast._internal.serving.budgets import LATER_PRIORITY, Budgets
+from dykemast._internal.serving.loans import MAX_LENDERS, choose_lenders
+from tests.lib.serving_boards import make_boards
+
+
+def make_account(name: str = 'node-0') -> Account:
+    return Account('joinville', Identity(name, f'{name}/1'))
+
+
+def make_budgets(count: int) -> Budgets:
+    board = make_boards(count)[0]
+    return Budgets(board, Identity('node-0', 'node-0/1'), search=None)
+
+
+def test_a_keeper_asks_those_first_that_it_lent_most() -> None:
+    peers = [board.make_card() for board in make_boards(30)[1:]]
+    account = make_account()
+    note_lent(account, 'node-7', 5000)
+    note_lent(account, 'node-9', 9000)
+    note_lent(account, 'node-9', -7000)
+    chosen = [card.instance for card in choose_lenders(peers, account)]
+    assert chosen[:2] == ['node-7', 'node-9']
+    assert len(chosen) == MAX_LENDERS, 'others are drawn at random'
+
+
+def test_rows_with_spare_tokens_count_like_loans() -> None:
+    peers = [board.make_card() for board in make_boards(4)[1:]]
+    account = make_account()
+    rows = {'x': LedgerRow('node-2', 900, 0, 100, 0)}
+    account.ledger = BudgetLedger(1, 1000, rows)
+    note_lent(account, 'node-3', 500)
+    chosen = [card.instance for card in choose_lenders(peers, account)]
+    assert chosen == ['node-2', 'node-3', 'node-1']
+
+
+def test_an_empty_budget_is_not_written_again_and_again() -> None:
+    account = make_account()
+    terms = Terms(1, 1000, 2)
+    assert account.may_gain(terms), 'nothing is known of it'
+    account.ledger = BudgetLedger(1, 1000, {}, closed=1000)
+    account.written_at = time.monotonic()
+    assert not account.may_gain(terms)
+    assert account.may_gain(terms._replace(version=2)), 'it may be topped up'
+    account.written_at -= EMPTY_TIME
+    assert account.may_gain(terms)
+
+
+def hold_late_request(routers: int, room: int) -> bool:
+    budgets = make_budgets(routers)
+    account = budgets.open_account('joinville')
+    account.allowance.borrowed = room
+    workspace = Workspace('joinville', 0, 1_000_000)
+    try:
+        asyncio.run(budgets.hold(workspace, 1000, LATER_PRIORITY))
+    except AttributeError:
+        # There is nowhere to search for more.
+        return False
+    return True
+
+
+def test_a_reserve_is_kept_where_there_are_few_routers() -> None:
+    # At each of 87 routers it was more than the whole budget.
+    assert hold_late_request(routers=87, room=1000)
+    assert not hold_late_request(routers=6, room=1000)
+    assert hold_late_request(routers=6, room=13_000)
+
+
+def test_a_borrower_gives_spare_tokens_back() -> None:
+    budgets = make_budgets(87)
+    account = budgets.open_account('joinville')
+    account.allowance.borrowed = 3000
+    account.allowance.take_hold(1000)
+    given = account.allowance.lend(5000)
+    assert given == 2000, 'what is held stays'
