Choose servers by one rule; the home of a shared part is a rule of its own

Change: one choice with the cost as its argument; operations/prompt_homes with a test. No behaviour changes.

--- a/src/dykemast/_internal/operations/server_choice.py
+++ b/src/dykemast/_internal/operations/server_choice.py
@@ -1,7 +1,7 @@
 """Which backend server gets a request."""
 
 from collections.abc import Callable, Iterable
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, TypeVar
 
 #: Prompt tokens that a running stream slows a new one by: a step takes some
 #: 2 % longer with each, over the some hundred tokens of an answer.
@@ -55,6 +55,9 @@
     trust: float
 
 
+Option = TypeVar('Option', EngineOption, ServiceOption)
+
+
 def choose_engine(
     options: Iterable[EngineOption],
     chance: Callable[[], float],
@@ -65,12 +68,7 @@
     :param chance: draws from 0 to 1; settles draws.
     :returns: id of an engine, or nothing when there is none.
     """
-    best = min(
-        options,
-        key=lambda one: (_cost_engine(one), chance()),
-        default=None,
-    )
-    return best.server if best else None
+    return _choose_cheapest(options, _cost_engine, chance)
 
 
 def choose_plain(
@@ -83,9 +81,17 @@
     :param chance: draws from 0 to 1; settles draws.
     :returns: id of a server, or nothing when there is none.
     """
+    return _choose_cheapest(options, _cost_plain, chance)
+
+
+def _choose_cheapest(
+    options: Iterable[Option],
+    measure_cost: Callable[[Option], float],
+    chance: Callable[[], float],
+) -> str | None:
     best = min(
         options,
-        key=lambda one: (_cost_plain(one), chance()),
+        key=lambda one: (measure_cost(one), chance()),
         default=None,
     )
     return best.server if best else None
--- a/src/dykemast/_internal/serving/choices.py
+++ b/src/dykemast/_internal/serving/choices.py
@@ -11,7 +11,7 @@
     choose_engine,
     choose_plain,
 )
-from dykemast._internal.operations.rendezvous import choose_keeper
+from dykemast._internal.operations.prompt_homes import find_home
 from dykemast._internal.serving.backends import list_usable
 from dykemast._internal.serving.loads import measure_load
 from dykemast._internal.serving.parts import Parts
@@ -36,12 +36,8 @@
         if server.name not in tried
     ]
     if ticket.service.engine:
-        home = _find_home(ticket, usable)
-        options = [_weigh_engine(parts, ticket, one) for one in usable]
-        options = [
-            one._replace(missing_shared=0) if one.server == home else one
-            for one in options
-        ]
+        home = find_home(ticket.request.prompt, (one.name for one in usable))
+        options = [_weigh_engine(parts, ticket, one, home) for one in usable]
         name = choose_engine(options, random.random)
     else:
         name = choose_plain(
@@ -50,18 +46,6 @@
     return parts.board.servers[name] if name else None
 
 
-def _find_home(ticket: Ticket, usable: list[BackendServer]) -> str | None:
-    """Find the engine that should read a shared part first.
-
-    All routers find the same one without telling each other, so that a part
-    which several of them meet at once is read by one engine.
-    """
-    shared = ticket.request.prompt[:-1]
-    if not shared:
-        return None
-    return choose_keeper(shared[-1].key, (one.name for one in usable))
-
-
 def _list_present(parts: Parts, ticket: Ticket) -> list[BackendServer]:
     """List usable servers, without those found absent if there are others."""
     usable = list_usable(parts.board, ticket.service.name)
@@ -96,6 +80,7 @@
     parts: Parts,
     ticket: Ticket,
     server: BackendServer,
+    home: str | None,
 ) -> EngineOption:
     now = time.monotonic()
     load = measure_load(parts.loads, server.name, now)
@@ -105,7 +90,9 @@
         slots=server.slots,
         unread=load.unread,
         missing=count_missing(parts, ticket, server.name),
-        missing_shared=_count_missing_shared(parts, ticket, server.name),
+        missing_shared=0
+        if server.name == home
+        else _count_missing_shared(parts, ticket, server.name),
         trust=parts.trust.measure(server.name, now),
     )
 
--- a/tests/unit/test_large_fleet.py
+++ b/tests/unit/test_large_fleet.py
@@ -2,9 +2,11 @@
 
 import time
 
+from dykemast._internal.models.caller_request import PromptPart
 from dykemast._internal.models.news import ServerLoad
 from dykemast._internal.operations.absent_servers import AbsentServers
 from dykemast._internal.operations.peer_loads import MAX_RELAYED, PeerLoads
+from dykemast._internal.operations.prompt_homes import find_home
 from dykemast._internal.serving.gossip_partners import (
     PEERS_A_ROUND,
     PEERS_IN_LARGE_FLEET,
@@ -74,3 +76,13 @@
     first.take(second.tell(12), now=12)
     assert not first.is_absent('a', 14.1)
     assert not first.tell(14.1)
+
+
+def test_a_shared_part_has_one_home_for_all_routers() -> None:
+    servers = [f'engine-{number}' for number in range(9)]
+    shared, other = PromptPart('aa', 500), PromptPart('bb', 70)
+    home = find_home([shared, PromptPart('own', 9)], servers)
+    assert home in servers
+    assert find_home([shared, PromptPart('x', 5)], reversed(servers)) == home
+    assert find_home([shared, other], [home, 'engine-x']) == home
+    assert find_home([other], servers) is None, 'it is of one request only'
