--- a/src/dykemast/_internal/serving/application.py
+++ b/src/dykemast/_internal/serving/application.py
@@ -9,6 +9,7 @@
 from dykemast._internal.serving.admission import admit
 from dykemast._internal.serving import plain_calls, records, stream_requests
 from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.strain import sheds_callers
 from dykemast._internal.serving.ticket import Ticket
 from dykemast._internal.serving.refusals import RefusedError
 from dykemast._internal.serving.responder import (
@@ -33,7 +34,7 @@
     """
 
     async def application(scope: Any, receive: Receive, send: Send) -> None:
-        responder = Responder(send, lambda: parts.board.stopping)
+        responder = Responder(send, lambda: sheds_callers(parts.board))
         started = time.monotonic()
         parts.board.inflight += 1
         parts.board.arrivals.note(1, started)
--- a/src/dykemast/_internal/serving/strain.py
+++ b/src/dykemast/_internal/serving/strain.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from dykemast._internal.models.news import Strain
-from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.board import ServingBoard, list_heard
 
 #: Seconds of a common core that a request takes, its events included: 43 s
 #: of processor time for 2,520 requests on a day of a trial, less what 16
@@ -28,3 +28,18 @@
     most = min(given.cores / REQUEST_WORK, given.link / REQUEST_BYTES)
     rate = board.arrivals.measure(time.monotonic())
     return Strain(round(BUSY_SHARE * most, 1), round(rate, 1))
+
+
+def sheds_callers(board: ServingBoard) -> bool:
+    """Tell whether callers should leave the connections they have here.
+
+    They choose an address when they open a connection, and those that send
+    many requests over one would stay although others carry more.
+
+    :param board: the blackboard.
+    :returns: whether they should.
+    """
+    if board.stopping:
+        return True
+    strain = measure_strain(board)
+    return strain.rate > strain.capacity and any(list_heard(board))
--- a/tests/unit/test_entry_choice.py
+++ b/tests/unit/test_entry_choice.py
@@ -8,8 +8,8 @@
     EntryOption,
     choose_entries,
 )
-from dykemast._internal.serving.strain import measure_strain
-from tests.lib.serving_boards import make_board
+from dykemast._internal.serving.strain import measure_strain, sheds_callers
+from tests.lib.serving_boards import make_board, make_boards
 
 
 def make_options(count: int, capacity: float = 10, rate: float = 1) -> list:
@@ -57,3 +57,16 @@
     assert measure_strain(board).capacity < by_processor
     board.arrivals.note(1, time.monotonic())
     assert measure_strain(board).rate > 0
+
+
+def test_a_strained_router_closes_connections_if_there_are_others() -> None:
+    alone, board = make_board(), make_boards(2)[0]
+    now = time.monotonic()
+    assert not sheds_callers(board)
+    for _ in range(1000):
+        alone.arrivals.note(1, now)
+        board.arrivals.note(1, now)
+    assert sheds_callers(board)
+    assert not sheds_callers(alone)
+    alone.stopping = True
+    assert sheds_callers(alone)
