--- a/tests/functional/test_deployment_servers.py
+++ b/tests/functional/test_deployment_servers.py
@@ -2,8 +2,12 @@
 
 import functools
 
+from http import client as http_client
+
 from tests.lib.deployment import Deployment
-from tests.lib.users_caller import send, stream
+from tests.lib.fixtures import wait_until
+from tests.lib.users_caller import begin_stream, send, stream
+from tests.lib.users_objects import make_stream_route
 
 
 @functools.cache
@@ -74,3 +78,57 @@
         deployment.control(name, fault='')
     assert not reply.whole
     assert reply.body.count(b'data:') == 2
+
+
+def test_a_server_that_is_not_there_costs_no_send() -> None:
+    # A route of one send, whose server answers for an address that another
+    # one has by now: it did not get the request, so the next one may.
+    route = make_stream_route('/stream/one/', attempts=1, resumable=False)
+    deployment = Deployment(routers=1).start(routes=(route,))
+    deployment.control('engine-0', fault='misdirected')
+    replies = [stream(deployment, '/stream/one/a') for _ in range(4)]
+    assert {reply.status for reply in replies} == {200}
+    sends = [
+        event
+        for event in deployment.read_events('node-0')
+        if event['event'] == 'send' and event['server'] == 'engine-0'
+    ]
+    assert len(sends) <= 1, 'it is passed over once it was found absent'
+    deployment.stop()
+
+
+def find_run(deployment: Deployment, request_id: str) -> dict:
+    for name in ('engine-0', 'engine-1'):
+        for run in deployment.control(name)['runs']:
+            if run['id'] == request_id:
+                return run
+    return {}
+
+
+def leave_after_first_bytes(deployment: Deployment) -> str:
+    connection, request_id = begin_stream(deployment)
+    response: http_client.HTTPResponse = connection.getresponse()
+    assert response.read(10)
+    response.close()
+    connection.close()
+    return request_id
+
+
+def test_nothing_goes_on_for_a_caller_who_left() -> None:
+    deployment = start_one_engine()
+    for name in ('engine-0', 'engine-1'):
+        deployment.control(name, pause=0.3)
+    request_id = leave_after_first_bytes(deployment)
+
+    def is_logged() -> bool:
+        return any(
+            event.get('request') == request_id
+            and event['event'] == 'caller_left'
+            for event in deployment.read_events('node-0')
+        )
+
+    assert wait_until(is_logged)
+    assert find_run(deployment, request_id)['events'] < 10
+    for name in ('engine-0', 'engine-1'):
+        deployment.control(name, pause=0.01)
+    assert 'whole' not in find_run(deployment, request_id)
--- /dev/null
+++ b/tests/unit/test_token_search.py
@@ -0,0 +1,47 @@
+"""How long a request waits for tokens."""
+
+import asyncio
+
+from dykemast._internal.operations.allowance_terms import Identity
+from dykemast._internal.serving.accounts import Account
+from dykemast._internal.serving.refusals import RefusalCode, RefusedError
+from dykemast._internal.serving.token_search import TokenSearch
+
+#: Seconds after which the test counts as hung; no promise.
+GUARD = 60
+
+
+class SlowSource:
+    """Finds tokens long after everybody has lost patience."""
+
+    def __init__(self) -> None:
+        self.searches = 0
+
+    async def find(self, account: Account) -> None:
+        """Search; ``account`` does not matter here."""
+        self.searches += 1
+        await asyncio.sleep(10 * GUARD)
+
+
+class Writer:
+    """Tells that the store answers."""
+
+    is_away = False
+
+
+async def ask_twice(search: TokenSearch, account: Account) -> RefusedError:
+    asks = (search.wait_for_tokens(account, tokens, 0) for tokens in (10, 20))
+    async with asyncio.timeout(GUARD):
+        first, second = await asyncio.gather(*asks, return_exceptions=True)
+    assert isinstance(second, RefusedError)
+    return first
+
+
+def test_a_request_is_refused_soon_although_the_search_goes_on() -> None:
+    source, account = SlowSource(), Account('shop', Identity('a', 'a/1'))
+    refusal = asyncio.run(ask_twice(TokenSearch(source, Writer()), account))
+    assert refusal.code is RefusalCode.budget_held
+    assert refusal.retry_after > 0
+    assert source.searches == 1, 'one search at a time for a budget'
+    assert account.pending == 0
+    assert account.is_short_of(20)
