Say once what stood twice: choice, strain, packing, absent servers, stand-ins

Change: choose_cheapest with the cost as its argument, Strain.is_exceeded, utils/packing with one error of the tree, Loads.absent, peers_read as an event, tests/lib/stand_ins. The stand-in of the service of plain calls keeps its log level, as do the others; no check changed but by name.

--- a/src/dykemast/_internal/exceptions.py
+++ b/src/dykemast/_internal/exceptions.py
@@ -78,6 +78,10 @@
     """A call to another router failed or was refused."""
 
 
+class NotUsableError(DykemastError):
+    """What another router sent makes no sense."""
+
+
 class UpstreamError(DykemastError):
     """A backend server failed.
 
--- a/src/dykemast/_internal/models/news.py
+++ b/src/dykemast/_internal/models/news.py
@@ -77,6 +77,13 @@
     capacity: float = 0
     rate: float = 0
 
+    def is_exceeded(self) -> bool:
+        """Tell whether more comes than the router carries.
+
+        :returns: whether it does.
+        """
+        return self.rate > self.capacity
+
 
 class News(NamedTuple):
     """What one router tells another.
--- a/src/dykemast/_internal/operations/entry_choice.py
+++ b/src/dykemast/_internal/operations/entry_choice.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 from dykemast._internal.models.deployment import Endpoint
+from dykemast._internal.models.news import Strain
 
 #: Part of the largest capacity from which on a router counts as strong.
 STRONG_SHARE: Final = 0.5
@@ -18,13 +19,11 @@
     """A router that callers could be told to use.
 
     :param address: where it answers callers.
-    :param capacity: requests a second that it carries well.
-    :param rate: requests a second that it got lately.
+    :param strain: how much comes to it.
     """
 
     address: Endpoint
-    capacity: float
-    rate: float
+    strain: Strain
 
 
 Sample = Callable[[Sequence[EntryOption], int], list[EntryOption]]
@@ -46,16 +45,16 @@
     :param sample: draws some of a sequence.
     :returns: the chosen ones.
     """
-    able = [one for one in options if _is_able(one)] or options
-    least = STRONG_SHARE * max((one.capacity for one in able), default=0)
-    strong = [one for one in able if one.capacity >= least]
+    able = [one for one in options if not one.strain.is_exceeded()] or options
+    least = STRONG_SHARE * max(map(_read_capacity, able), default=0)
+    strong = [one for one in able if _read_capacity(one) >= least]
     chosen = sample(strong, min(len(strong), most))
-    weak = [one for one in able if one.capacity < least]
+    weak = [one for one in able if _read_capacity(one) < least]
     return chosen + _draw_weak(weak, len(chosen), most, sample)
 
 
-def _is_able(option: EntryOption) -> bool:
-    return option.rate <= option.capacity
+def _read_capacity(option: EntryOption) -> float:
+    return option.strain.capacity
 
 
 def _draw_weak(
--- a/src/dykemast/_internal/operations/peer_loads.py
+++ b/src/dykemast/_internal/operations/peer_loads.py
@@ -16,7 +16,6 @@
 
 class _Told(NamedTuple):
     at: float
-    loads: tuple[ServerLoad, ...]
     by_server: dict[str, ServerLoad]
 
 
@@ -42,7 +41,7 @@
         known = self._told.get(peer)
         if known is None or known.at < now:
             by_server = {load.server: load for load in loads}
-            self._told[peer] = _Told(now, loads, by_server)
+            self._told[peer] = _Told(now, by_server)
 
     def take_relayed(
         self,
@@ -67,8 +66,7 @@
         :returns: the requests of some peers, the newest news first.
         """
         relayed = [
-            RelayedLoads(peer, round(now - told.at, 3), told.loads)
-            for peer, told in self._told.items()
+            _describe(peer, told, now) for peer, told in self._told.items()
         ]
         relayed.sort(key=_read_age)
         newest = relayed[:MAX_RELAYED]
@@ -94,5 +92,10 @@
         )
 
 
+def _describe(peer: str, told: _Told, now: float) -> RelayedLoads:
+    age = round(now - told.at, 3)
+    return RelayedLoads(peer, age, tuple(told.by_server.values()))
+
+
 def _read_age(relayed: RelayedLoads) -> float:
     return relayed.age
--- a/src/dykemast/_internal/operations/server_choice.py
+++ b/src/dykemast/_internal/operations/server_choice.py
@@ -58,37 +58,18 @@
 Option = TypeVar('Option', EngineOption, ServiceOption)
 
 
-def choose_engine(
-    options: Iterable[EngineOption],
-    chance: Callable[[], float],
-) -> str | None:
-    """Choose the engine that should answer first.
-
-    :param options: engines.
-    :param chance: draws from 0 to 1; settles draws.
-    :returns: id of an engine, or nothing when there is none.
-    """
-    return _choose_cheapest(options, _cost_engine, chance)
-
-
-def choose_plain(
-    options: Iterable[ServiceOption],
+def choose_cheapest(
+    options: Iterable[Option],
+    measure_cost: Callable[[Option], float],
     chance: Callable[[], float],
 ) -> str | None:
-    """Choose the least busy plain server.
+    """Choose the server at which a request costs least.
 
-    :param options: servers.
+    :param options: servers of one kind.
+    :param measure_cost: measures what the request costs there.
     :param chance: draws from 0 to 1; settles draws.
     :returns: id of a server, or nothing when there is none.
     """
-    return _choose_cheapest(options, _cost_plain, chance)
-
-
-def _choose_cheapest(
-    options: Iterable[Option],
-    measure_cost: Callable[[Option], float],
-    chance: Callable[[], float],
-) -> str | None:
     best = min(
         options,
         key=lambda one: (measure_cost(one), chance()),
@@ -97,7 +78,12 @@
     return best.server if best else None
 
 
-def _cost_engine(option: EngineOption) -> float:
+def cost_engine(option: EngineOption) -> float:
+    """Measure how long a request would wait for its first event.
+
+    :param option: an engine.
+    :returns: tokens, weighed by trust.
+    """
     tokens = option.unread + option.missing
     tokens += SHARED_FACTOR * option.missing_shared
     tokens += TOKENS_PER_RUNNING * option.running
@@ -107,7 +93,12 @@
     return tokens / max(MIN_TRUST, option.trust)
 
 
-def _cost_plain(option: ServiceOption) -> float:
+def cost_plain(option: ServiceOption) -> float:
+    """Measure how busy a plain server is.
+
+    :param option: a server.
+    :returns: part of its slots, weighed by trust.
+    """
     load = option.running / max(1, option.slots)
     if not option.near:
         load += FAR_SLOTS
--- a/src/dykemast/_internal/serving/board.py
+++ b/src/dykemast/_internal/serving/board.py
@@ -65,7 +65,7 @@
         they are listed; ``serving.backends`` and ``serving.gossip``.
     :param peers: other routers by instance; ``serving.members`` adds and
         removes them, ``serving.gossip`` hears from them.
-    :param peers_read: whether the list of routers was read since the start;
+    :param peers_read: set when the list of routers was read since the start;
         ``serving.members``.
     :param inflight: requests in progress; ``serving.application``.
     :param arrivals: requests that came; ``serving.application``.
@@ -92,7 +92,7 @@
     lapsed: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving: set[str] = dataclasses.field(default_factory=set)
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
-    peers_read: bool = False
+    peers_read: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     inflight: int = 0
     arrivals: Demand = dataclasses.field(
         default_factory=lambda: Demand(ARRIVAL_WINDOW)
--- a/src/dykemast/_internal/serving/choices.py
+++ b/src/dykemast/_internal/serving/choices.py
@@ -8,8 +8,9 @@
 from dykemast._internal.operations.server_choice import (
     EngineOption,
     ServiceOption,
-    choose_engine,
-    choose_plain,
+    choose_cheapest,
+    cost_engine,
+    cost_plain,
 )
 from dykemast._internal.operations.prompt_homes import find_home
 from dykemast._internal.serving.backends import list_usable
@@ -37,12 +38,11 @@
     ]
     if ticket.service.engine:
         home = find_home(ticket.request.prompt, (one.name for one in usable))
-        options = [_weigh_engine(parts, ticket, one, home) for one in usable]
-        name = choose_engine(options, random.random)
+        engines = [_weigh_engine(parts, ticket, one, home) for one in usable]
+        name = choose_cheapest(engines, cost_engine, random.random)
     else:
-        name = choose_plain(
-            [_weigh_plain(parts, one) for one in usable], random.random
-        )
+        plain = [_weigh_plain(parts, one) for one in usable]
+        name = choose_cheapest(plain, cost_plain, random.random)
     return parts.board.servers[name] if name else None
 
 
@@ -51,7 +51,7 @@
     usable = list_usable(parts.board, ticket.service.name)
     now = time.monotonic()
     present = [
-        one for one in usable if not parts.absent.is_absent(one.name, now)
+        one for one in usable if not parts.loads.absent.is_absent(one.name, now)
     ]
     return present or usable
 
--- a/src/dykemast/_internal/serving/configuration.py
+++ b/src/dykemast/_internal/serving/configuration.py
@@ -1,10 +1,8 @@
 """Keep the newest configuration in force."""
 
-import zlib
 from typing import Final
 
-import msgspec
-
+from dykemast._internal.exceptions import NotUsableError
 from dykemast._internal.platform.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -14,12 +12,13 @@
 from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.serving.follower import Follower
 from dykemast._internal.utils.events import make_logger
+from dykemast._internal.utils.packing import pack, unpack
 
 _log = make_logger('configuration')
 
 #: Seconds in which changes gather; users allow 2 s until one is in force.
 WATCH_PAUSE: Final = 0.2
-_NOT_USABLE: Final = (KeyError, TypeError, ValueError, zlib.error)
+_NOT_USABLE: Final = (KeyError, TypeError, ValueError, NotUsableError)
 
 
 def make_follower(board: ServingBoard) -> Follower:
@@ -67,8 +66,7 @@
         return
     board.table = table
     board.table_changed.set()
-    # Links may be narrow, and routes are much alike.
-    board.table_raw = zlib.compress(msgspec.msgpack.encode(stored))
+    board.table_raw = pack(stored)
     _log(
         'configuration_in_force',
         version=table.version,
@@ -96,5 +94,4 @@
 
 
 def _decode_and_take(board: ServingBoard, body: bytes, peer: str) -> None:
-    stored = msgspec.msgpack.decode(zlib.decompress(body), type=StoreObject)
-    take_configuration(board, stored, peer)
+    take_configuration(board, unpack(body, StoreObject), peer)
--- a/src/dykemast/_internal/serving/entry.py
+++ b/src/dykemast/_internal/serving/entry.py
@@ -84,14 +84,14 @@
     ]
     if is_ready(board):
         own = board.settings.listeners.caller
-        options.append(EntryOption(own, *measure_strain(board)))
+        options.append(EntryOption(own, measure_strain(board)))
     chosen = choose_entries(options, MAX_ADDRESSES, random.sample)
     return [one.address for one in chosen]
 
 
 def _describe_peer(peer: Peer) -> EntryOption:
     address = Endpoint(peer.card.host, peer.card.caller_port)
-    return EntryOption(address, *peer.strain)
+    return EntryOption(address, peer.strain)
 
 
 def describe_state(parts: Parts) -> dict[str, float]:
--- a/src/dykemast/_internal/serving/followers.py
+++ b/src/dykemast/_internal/serving/followers.py
@@ -29,8 +29,6 @@
 #: Seconds until peers are known when all routers start at the same time: the
 #: list of them is read anew after 1.5 s.
 MEETING_TIME: Final = 2.0
-#: Seconds between two looks whether the list was read.
-PEERS_PAUSE: Final = 0.05
 #: Seconds between two looks whether this router should watch.
 TURN_PAUSE: Final = 1.0
 #: Seconds before the first try after a failure, and at most.
@@ -74,8 +72,7 @@
     # While no peer is known, every router would watch.
     if board.settings.first_start:
         await asyncio.sleep(MEETING_TIME)
-    while not board.peers_read:
-        await asyncio.sleep(PEERS_PAUSE)
+    await board.peers_read.wait()
 
 
 async def _wait_for_turn(board: ServingBoard, kind: str) -> None:
--- a/src/dykemast/_internal/serving/members.py
+++ b/src/dykemast/_internal/serving/members.py
@@ -85,7 +85,7 @@
     listing = await store.list_kind(MEMBER_KIND)
     for stored in listing.found:
         meet_peer(board, msgspec.convert(stored.spec, PeerCard))
-    board.peers_read = True
+    board.peers_read.set()
     listed = {one.name for one in listing.found}
     for name in set(board.peers) - listed:
         board.peers.pop(name)
--- a/src/dykemast/_internal/serving/outcomes.py
+++ b/src/dykemast/_internal/serving/outcomes.py
@@ -40,9 +40,9 @@
     :param server: the server.
     """
     now = time.monotonic()
-    if not parts.absent.is_absent(server.name, now):
+    if not parts.loads.absent.is_absent(server.name, now):
         _log('server_absent', server=server.name, seconds=ABSENT_TIME)
-    parts.absent.note(server.name, now, ABSENT_TIME)
+    parts.loads.absent.note(server.name, now, ABSENT_TIME)
 
 
 def note_outcome(parts: Parts, server: BackendServer, *, failed: bool) -> None:
--- a/src/dykemast/_internal/serving/parts.py
+++ b/src/dykemast/_internal/serving/parts.py
@@ -2,7 +2,6 @@
 
 from typing import NamedTuple
 
-from dykemast._internal.operations.absent_servers import AbsentServers
 from dykemast._internal.operations.retry_allowance import RetryAllowance
 from dykemast._internal.operations.server_trust import ServerTrust
 from dykemast._internal.serving.board import ServingBoard
@@ -19,7 +18,6 @@
     :param budgets: holds tokens.
     :param loads: requests at backend servers.
     :param trust: how backend servers did.
-    :param absent: backend servers that were found absent.
     :param retries: allowance for second sends by service.
     :param upstreams: connections to backend servers.
     :param meters: counters and times.
@@ -29,7 +27,6 @@
     budgets: Budgets
     loads: Loads
     trust: ServerTrust
-    absent: AbsentServers
     retries: dict[str, RetryAllowance]
     upstreams: Upstreams
     meters: Meters
@@ -48,7 +45,6 @@
         budgets=budgets,
         loads=loads,
         trust=ServerTrust(),
-        absent=loads.absent,
         retries={},
         upstreams=Upstreams(),
         meters=make_meters(),
--- a/src/dykemast/_internal/serving/server_lists.py
+++ b/src/dykemast/_internal/serving/server_lists.py
@@ -1,15 +1,13 @@
 """Pass the list of backend servers from router to router."""
 
-import zlib
-
-import msgspec
-
+from dykemast._internal.exceptions import NotUsableError
 from dykemast._internal.models.news import ListState
 from dykemast._internal.platform.store_types import Listing
 from dykemast._internal.serving.backends import make_follower
 from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.serving.follower import take_listing
 from dykemast._internal.utils.events import make_logger
+from dykemast._internal.utils.packing import pack, unpack
 
 _log = make_logger('backends')
 
@@ -36,8 +34,7 @@
     if revision <= above:
         return b''
     listing = Listing(list(board.server_objects.values()), revision)
-    # Links may be narrow, and entries are much alike.
-    return zlib.compress(msgspec.msgpack.encode(listing))
+    return pack(listing)
 
 
 def take_from_peer(board: ServingBoard, body: bytes, peer: str) -> None:
@@ -50,8 +47,8 @@
     :param peer: its instance.
     """
     try:
-        listing = msgspec.msgpack.decode(zlib.decompress(body), type=Listing)
-    except (zlib.error, msgspec.MsgspecError) as error:
+        listing = unpack(body, Listing)
+    except NotUsableError as error:
         _log('servers_not_usable', peer=peer, reason=str(error))
         return
     if listing.revision > board.server_state.revision:
--- a/src/dykemast/_internal/serving/strain.py
+++ b/src/dykemast/_internal/serving/strain.py
@@ -42,10 +42,6 @@
     """
     if board.stopping:
         return True
-    if not _is_exceeded(measure_strain(board)):
+    if not measure_strain(board).is_exceeded():
         return False
-    return any(not _is_exceeded(peer.strain) for peer in list_heard(board))
-
-
-def _is_exceeded(strain: Strain) -> bool:
-    return strain.rate > strain.capacity
+    return not all(peer.strain.is_exceeded() for peer in list_heard(board))
--- a/tests/lib/backend_server.py
+++ b/tests/lib/backend_server.py
@@ -7,16 +7,16 @@
 another request) or ``misdirected``; it returns what ran and what it got.
 """
 
-import argparse
 import asyncio
 from typing import Any
 
-import uvicorn
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from tests.lib.stand_ins import make_parser, run_app
+
 EVENT_PAUSE = 0.01
 state: dict[str, Any] = {'fault': '', 'name': '', 'pause': EVENT_PAUSE}
 runs: list[dict[str, Any]] = []
@@ -93,17 +93,8 @@
 )
 
 if __name__ == '__main__':
-    parser = argparse.ArgumentParser()
-    parser.add_argument('--host', default='127.0.0.1')
-    parser.add_argument('--port', type=int, required=True)
+    parser = make_parser()
     parser.add_argument('--name', required=True)
     options = parser.parse_args()
     state['name'] = options.name
-    uvicorn.run(
-        app,
-        host=options.host,
-        port=options.port,
-        loop='asyncio',
-        log_level='critical',
-        timeout_graceful_shutdown=1,
-    )
+    run_app(app, options, 'critical')
--- a/tests/lib/engine.py
+++ b/tests/lib/engine.py
@@ -9,12 +9,10 @@
 ``fenced`` (refuse an ``X-Fencing-Number`` lower than the highest seen).
 """
 
-import argparse
 import asyncio
 import contextlib
 import json
 
-import uvicorn
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
@@ -26,6 +24,7 @@
     count_prompt,
     make_usage,
 )
+from tests.lib.stand_ins import make_parser, run_app
 
 settings = {
     'rate': 200.0,
@@ -114,11 +113,10 @@
 )
 
 if __name__ == '__main__':
-    parser = argparse.ArgumentParser()
-    parser.add_argument('--port', type=int, required=True)
+    parser = make_parser()
     parser.add_argument('--models', default='tiny-1')
     parser.add_argument('--rate', type=float, default=200)
     options = parser.parse_args()
     settings['models'] = options.models.split(',')
     settings['rate'] = options.rate
-    uvicorn.run(app, port=options.port, loop='asyncio', log_level='critical')
+    run_app(app, options, 'critical')
--- a/tests/lib/object_store.py
+++ b/tests/lib/object_store.py
@@ -6,18 +6,18 @@
 are done), ``deaf`` (watches hear nothing) and ``forget`` (drop the history).
 """
 
-import argparse
 import asyncio
 import contextlib
 import json
 from typing import Any
 
-import uvicorn
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from tests.lib.stand_ins import make_parser, run_app
+
 PAGE = 50
 
 
@@ -204,18 +204,9 @@
 )
 
 if __name__ == '__main__':
-    parser = argparse.ArgumentParser()
-    parser.add_argument('--host', default='127.0.0.1')
-    parser.add_argument('--port', type=int, required=True)
+    parser = make_parser()
     parser.add_argument('--put', default='[]')
     options = parser.parse_args()
     for kind, name, spec in json.loads(options.put):
         store.put(kind, name, spec)
-    uvicorn.run(
-        app,
-        host=options.host,
-        port=options.port,
-        loop='asyncio',
-        log_level='error',
-        timeout_graceful_shutdown=1,
-    )
+    run_app(app, options)
--- a/tests/lib/plain.py
+++ b/tests/lib/plain.py
@@ -4,15 +4,15 @@
 request id; ``POST /control`` sets ``delay`` (s) before an answer.
 """
 
-import argparse
 import asyncio
 
-import uvicorn
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from tests.lib.stand_ins import make_parser, run_app
+
 settings = {'delay': 0}
 ran: dict[str, int] = {}
 
@@ -53,7 +53,4 @@
 )
 
 if __name__ == '__main__':
-    parser = argparse.ArgumentParser()
-    parser.add_argument('--port', type=int, required=True)
-    options = parser.parse_args()
-    uvicorn.run(app, port=options.port, loop='asyncio', log_level='critical')
+    run_app(app, make_parser().parse_args(), 'critical')
--- a/tests/lib/platform.py
+++ b/tests/lib/platform.py
@@ -6,19 +6,19 @@
 list) and ``lag`` (s until the list shows it).
 """
 
-import argparse
 import asyncio
 import contextlib
 import json
 import time
 from collections import Counter
 
-import uvicorn
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from tests.lib.stand_ins import make_parser, run_app
+
 store: dict[str, tuple[str, int, int]] = {}
 faults = {'latency': 0, 'away': False, 'lose': 0, 'lag': 0, 'limit': 0}
 counts = {'reads': 0, 'writes': 0, 'watches': 0}
@@ -133,15 +133,8 @@
 )
 
 if __name__ == '__main__':
-    parser = argparse.ArgumentParser()
-    parser.add_argument('--port', type=int, required=True)
+    parser = make_parser()
     parser.add_argument('--instances', default='[]')
     options = parser.parse_args()
     history.append((0, json.loads(options.instances)))
-    uvicorn.run(
-        app,
-        port=options.port,
-        loop='asyncio',
-        log_level='error',
-        timeout_graceful_shutdown=1,
-    )
+    run_app(app, options)
--- a/tests/unit/test_entry_choice.py
+++ b/tests/unit/test_entry_choice.py
@@ -19,7 +19,9 @@
 def make_options(count: int, capacity: float = 10, rate: float = 1) -> list:
     first = int(capacity * 1000)
     return [
-        EntryOption(Endpoint('10.0.0.1', first + number), capacity, rate)
+        EntryOption(
+            Endpoint('10.0.0.1', first + number), Strain(capacity, rate)
+        )
         for number in range(count)
     ]
 
@@ -98,6 +100,6 @@
     board = make_board()
     board.settings = board.settings._replace(capacity=decode())
     strain = measure_strain(board)
-    option = EntryOption(Endpoint('10.0.0.1', 1), *strain)
+    option = EntryOption(Endpoint('10.0.0.1', 1), strain)
     assert choose_entries([option], 64, take_first) == [option]
     assert not sheds_callers(board)
--- a/tests/unit/test_serving_rules.py
+++ b/tests/unit/test_serving_rules.py
@@ -10,8 +10,9 @@
 from dykemast._internal.operations.server_choice import (
     EngineOption,
     ServiceOption,
-    choose_engine,
-    choose_plain,
+    choose_cheapest,
+    cost_engine,
+    cost_plain,
 )
 from dykemast._internal.operations.server_trust import ServerTrust
 from dykemast._internal.serving.event_parser import EventParser, read_event_id
@@ -49,6 +50,14 @@
     assert not cache.count_kept([first]), 'the oldest part gave way'
 
 
+def choose_engine(options: list[EngineOption]) -> str | None:
+    return choose_cheapest(options, cost_engine, float)
+
+
+def choose_plain(options: list[ServiceOption]) -> str | None:
+    return choose_cheapest(options, cost_plain, float)
+
+
 def make_engine(name: str, **fields) -> EngineOption:
     return EngineOption(
         **{
@@ -66,26 +75,24 @@
 
 def test_an_engine_that_keeps_the_prompt_is_chosen_unless_it_is_busy() -> None:
     fresh = make_engine('fresh')
-    assert choose_engine([fresh, make_engine('keeps', missing=10)], float) == (
-        'keeps'
-    )
+    assert choose_engine([fresh, make_engine('keeps', missing=10)]) == ('keeps')
     busy = make_engine('keeps', missing=10, unread=5000)
-    assert choose_engine([fresh, busy], float) == 'fresh'
+    assert choose_engine([fresh, busy]) == 'fresh'
     full = make_engine('keeps', missing=10, running=8)
-    assert choose_engine([fresh, full], float) == 'fresh'
-    assert choose_engine([], float) is None
+    assert choose_engine([fresh, full]) == 'fresh'
+    assert choose_engine([]) is None
 
 
 def test_shared_parts_are_read_at_few_engines() -> None:
     keeps = make_engine('keeps', missing=0, unread=1500)
     idle = make_engine('idle', missing=1000, missing_shared=1000)
-    assert choose_engine([idle, keeps], float) == 'keeps'
+    assert choose_engine([idle, keeps]) == 'keeps'
 
 
 def test_a_plain_server_that_fails_is_left_alone() -> None:
     good = ServiceOption('good', 3, 6, near=False, trust=1)
     grey = ServiceOption('grey', 0, 6, near=True, trust=0.1)
-    assert choose_plain([good, grey], float) == 'good'
+    assert choose_plain([good, grey]) == 'good'
 
 
 def test_trust_is_lost_at_once_and_comes_back_slowly() -> None:
