Remember the smallest request that was refused; test returns of loans

Cause: a refusal for lack of tokens is believed for 0.5 s so that the next request of that size does not search again; a larger refusal after it took its place, and the smaller request searched once more. The test that a borrower gives tokens back asked the allowance alone, not the call that a keeper makes. Ruled out: wrong refusals: what is believed still ends after 0.5 s, and 9 tokens are searched for when 10 were refused. Change: a refusal that a smaller one covers changes nothing; both tests ask for the behaviour.

--- a/src/dykemast/_internal/serving/accounts.py
+++ b/src/dykemast/_internal/serving/accounts.py
@@ -39,7 +39,7 @@
         by instance.
     :param pending: tokens that requests are waiting for.
     :param search: looks for tokens now, unless it is done.
-    :param shortage: the last hold that was refused.
+    :param shortage: the smallest hold that was refused lately.
     :param stored: the object as last seen; None when it has to be read
         before it is written again.
     :param ledger: what it holds; stays when ``stored`` is forgotten.
--- a/src/dykemast/_internal/serving/token_search.py
+++ b/src/dykemast/_internal/serving/token_search.py
@@ -34,6 +34,9 @@
 
 
 def _note_shortage(account: Account, tokens: int) -> None:
+    if account.is_short_of(tokens):
+        # Fewer were refused a moment ago; that says more.
+        return
     account.shortage = Shortage(tokens, time.monotonic() + SHORT_TIME)
 
 
--- a/tests/unit/test_loans.py
+++ b/tests/unit/test_loans.py
@@ -7,6 +7,8 @@
 from dykemast._internal.models.routing_table import Workspace
 from dykemast._internal.operations.allowance_terms import Identity, Terms
 from dykemast._internal.serving.accounts import EMPTY_TIME, Account, note_lent
+from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.budget_keepers import find_keeper
 from dykemast._internal.serving.budgets import LATER_PRIORITY, Budgets
 from dykemast._internal.serving.loans import MAX_LENDERS, choose_lenders
 from tests.lib.serving_boards import make_boards
@@ -74,10 +76,21 @@
     assert hold_late_request(routers=6, room=13_000)
 
 
-def test_a_borrower_gives_spare_tokens_back() -> None:
-    budgets = make_budgets(87)
-    account = budgets.open_account('joinville')
+def test_a_borrower_gives_back_what_no_request_holds() -> None:
+    boards = make_boards(87)
+    kept = find_kept_elsewhere(boards[0])
+    budgets = Budgets(boards[0], Identity('node-0', 'node-0/1'), search=None)
+    account = budgets.open_account(kept)
     account.allowance.borrowed = 3000
     account.allowance.take_hold(1000)
-    given = account.allowance.lend(5000)
-    assert given == 2000, 'what is held stays'
+    given = asyncio.run(budgets.lend(kept, 5000, 'node-9'))
+    assert given == 2000
+    assert account.lent_to == {'node-9': 2000}
+    # It is not the keeper: what the keeper wants is no demand of its own.
+    assert account.demand.measure(time.monotonic()) == 0
+
+
+def find_kept_elsewhere(board: ServingBoard) -> str:
+    """Find a workspace whose budget another router keeps."""
+    names = (f'shop-{number}' for number in range(9))
+    return next(name for name in names if find_keeper(board, name))
--- a/tests/unit/test_token_search.py
+++ b/tests/unit/test_token_search.py
@@ -44,4 +44,7 @@
     assert refusal.retry_after > 0
     assert source.searches == 1, 'one search at a time for a budget'
     assert account.pending == 0
+    # A larger request that is refused afterwards hides no smaller one.
+    assert account.is_short_of(10)
     assert account.is_short_of(20)
+    assert not account.is_short_of(9)
