--- a/src/dykemast/_internal/operations/entry_choice.py
+++ b/src/dykemast/_internal/operations/entry_choice.py
@@ -10,8 +10,7 @@
 STRONG_SHARE: Final = 0.5
 #: Weaker routers in one answer at least, so that callers who get it are not
 #: left with none when the strong ones fail. Few, because callers choose among
-#: the addresses evenly: in trials with 6 strong routers of 87 all 64 that fit
-#: left a workspace that keeps to one address at a weak one.
+#: the addresses evenly: of 64 that fit, six strong ones got a tenth.
 MIN_WEAK: Final = 6
 
 
--- a/src/dykemast/_internal/serving/attempts.py
+++ b/src/dykemast/_internal/serving/attempts.py
@@ -24,7 +24,8 @@
 SERVER_RETRY: Final = 0.4
 #: Seconds that have to be left for another try to make sense.
 MIN_TIME_LEFT: Final = 0.05
-#: Servers tried for one request at most, those included that were not there.
+#: Servers tried for one request at most, those included that were not there:
+#: by choice, a few times what routes allow.
 MAX_SENDS: Final = 5
 
 Deliver = Callable[[BackendServer], Awaitable[None]]
--- a/src/dykemast/_internal/serving/followers.py
+++ b/src/dykemast/_internal/serving/followers.py
@@ -29,7 +29,8 @@
 #: Seconds until peers are known when all routers start at the same time: the
 #: list of them is read anew after 1.5 s.
 MEETING_TIME: Final = 2.0
-#: Seconds between two looks whether this router should watch.
+#: Seconds between two looks whether this router should watch: less than the
+#: time after which a watcher that is gone counts as silent.
 TURN_PAUSE: Final = 1.0
 #: Seconds before the first try after a failure, and at most.
 FIRST_PAUSE: Final = 0.1
