--- a/tests/lib/backend_server.py
+++ b/tests/lib/backend_server.py
@@ -3,8 +3,9 @@
 ``python -m tests.lib.backend_server --port N --name ID``. It streams events
 for paths under ``/stream/`` and answers at once elsewhere. ``POST /control``
 sets ``fault``: nothing, ``shed`` (503, not run), ``error`` (500), ``cut``
-(breaks off midway), ``part`` (ends in the middle of an event), ``mute`` (no answer), ``unsigned``, ``other`` (answers
-another request) or ``misdirected``; it returns what ran and what it got.
+(breaks off midway), ``part`` (ends in the middle of an event), ``mute`` (no
+answer), ``unsigned``, ``other`` (answers another request) or
+``misdirected``; it returns what ran and what it got.
 """
 
 import asyncio
