Look for the key in the log, and only after the log was written

It passed as long as it read the log before the line was written. Change: the key is 'not-a-key', and the test waits for the refusal's line before it looks, which is stricter. A mutation that logs the key is caught.

--- a/tests/functional/test_deployment.py
+++ b/tests/functional/test_deployment.py
@@ -2,6 +2,7 @@
 
 import json
 
+from tests.lib.deployment import Deployment
 from tests.lib.fixtures import wait_until
 from tests.lib.shared_deployment import start_shared
 from tests.lib.users_caller import send, stream
@@ -31,12 +32,20 @@
     assert run['headers']['x-tenant'] == 'joinville'
 
 
+def is_refusal_logged(deployment: Deployment, request_id: str) -> bool:
+    return any(
+        event['event'] == 'refused' and event['request'] == request_id
+        for event in deployment.read_events('node-0')
+    )
+
+
 def test_wrong_keys_and_routes_are_refused_before_anything_is_sent() -> None:
     deployment = start_shared()
     assert send(deployment, '/nowhere/').status == 404
-    wrong = send(deployment, '/order/1', Authorization='Token wrong')
+    wrong = send(deployment, '/order/1', Authorization='Token not-a-key')
     assert wrong.status == 401
-    assert 'wrong' not in deployment.processes.read_log('node-0')
+    assert wait_until(lambda: is_refusal_logged(deployment, wrong.request_id))
+    assert 'not-a-key' not in deployment.processes.read_log('node-0')
     assert send(deployment, '/order/1', X_Deadline_Ms='soon').status == 400
     assert send(deployment, '/order/1', body='x' * 100_001).status == 413
     runs = deployment.control('plain-0')['runs']
--- a/tools/serving_mutations.py
+++ b/tools/serving_mutations.py
@@ -144,4 +144,12 @@
         'if ledger is None:',
         'test_a_lowered_budget',
     ),
+    Mutation(
+        'log the key of a caller',
+        'keys are never logged',
+        f'{_INTERNAL}/serving/admission.py',
+        "RefusedError(RefusalCode.wrong_key, {'version': table.version})",
+        "RefusedError(RefusalCode.wrong_key, {'key': request.key})",
+        'test_wrong_keys',
+    ),
 )
