Log the connection of each request, and each request that a stop cuts off

Cause: the log of the incident could not tell whether the late requests came over connections that callers kept or over new ones, and had no line for the end of the request that was lost. Ruled out: counting connections in the listener; the port of the caller's end tells the same without state. Change: `admitted` carries `connection`; a request that is cancelled by the end of the process logs `cut_by_stop` and is counted under that code.

--- a/src/dykemast/_internal/serving/application.py
+++ b/src/dykemast/_internal/serving/application.py
@@ -1,16 +1,15 @@
 """ASGI application: the way of each request."""
 
+import asyncio
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
-from dykemast._internal.models.routing_table import RouteKind
 from dykemast._internal.platform.request_headers import find_request_id
 from dykemast._internal.serving.admission import admit
-from dykemast._internal.serving import plain_calls, records, stream_requests
+from dykemast._internal.serving import dispatch, records
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.strain import sheds_callers
-from dykemast._internal.serving.ticket import Ticket
 from dykemast._internal.serving.refusals import RefusedError
 from dykemast._internal.serving.responder import (
     Receive,
@@ -45,6 +44,12 @@
             await responder.refuse(error)
         except ConnectionError as error:
             records.log_left(find_request_id(scope), error)
+        except asyncio.CancelledError:
+            cut = records.CutRequest(
+                find_request_id(scope), started, responder.begun
+            )
+            records.note_cut(parts, cut)
+            raise
         finally:
             parts.board.inflight -= 1
 
@@ -59,23 +64,17 @@
 ) -> None:
     body = await read_body(receive, _limit_body(parts))
     ticket = admit(parts.board, scope)
-    records.log_admitted(ticket)
-    served = await run_until_left(_run(parts, ticket, body, responder), receive)
+    records.log_admitted(ticket, _describe_connection(scope))
+    work = dispatch.serve_ticket(parts, ticket, body, responder)
+    served = await run_until_left(work, receive)
     records.note_end(parts, ticket, 'served' if served else 'caller_left')
 
 
+def _describe_connection(scope: Any) -> str:
+    host, port = scope.get('client') or ('', 0)
+    return f'{host}:{port}'
+
+
 def _limit_body(parts: Parts) -> int:
     table = parts.board.table
     return table.limits.body_bytes if table else DEFAULT_BODY_LIMIT
-
-
-async def _run(
-    parts: Parts,
-    ticket: Ticket,
-    body: bytes,
-    responder: Responder,
-) -> None:
-    if ticket.route.kind is RouteKind.stream:
-        await stream_requests.serve_stream(parts, ticket, body, responder)
-    else:
-        await plain_calls.serve_plain(parts, ticket, body, responder)
--- a/src/dykemast/_internal/serving/records.py
+++ b/src/dykemast/_internal/serving/records.py
@@ -1,6 +1,7 @@
 """What is logged and counted of each request."""
 
 import time
+from typing import NamedTuple
 
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.ticket import Ticket
@@ -10,10 +11,25 @@
 _log = make_logger('request')
 
 
-def log_admitted(ticket: Ticket) -> None:
+class CutRequest(NamedTuple):
+    """A request that was in progress when the process ended.
+
+    :param request_id: id that the caller gave it.
+    :param started: seconds on the steady clock when it came.
+    :param begun: whether its answer had begun.
+    """
+
+    request_id: str
+    started: float
+    begun: bool
+
+
+def log_admitted(ticket: Ticket, connection: str) -> None:
     """Log that a request was let in, and why so.
 
     :param ticket: the request.
+    :param connection: address of the caller's end of its connection; the same
+        for all requests over one connection.
     """
     request = ticket.request
     workspace = ticket.workspace
@@ -26,6 +42,7 @@
         version=ticket.version,
         tokens=request.prompt_tokens + request.output_tokens,
         left_s=round(ticket.deadline - ticket.started, 3),
+        connection=connection,
     )
 
 
@@ -38,6 +55,21 @@
     _log('caller_left', request=request_id, reason=str(error))
 
 
+def note_cut(parts: Parts, cut: CutRequest) -> None:
+    """Log and count a request that the end of this process cuts off.
+
+    :param parts: parts of the program.
+    :param cut: the request.
+    """
+    parts.meters.refusals.inc({'code': 'cut_by_stop'})
+    _log(
+        'cut_by_stop',
+        request=cut.request_id,
+        begun=cut.begun,
+        took_s=round(time.monotonic() - cut.started, 3),
+    )
+
+
 def note_end(parts: Parts, ticket: Ticket, outcome: str) -> None:
     """Log and count the end of a request that was not refused.
 
