--- a/tests/lib/backend_server.py
+++ b/tests/lib/backend_server.py
@@ -5,7 +5,8 @@
 sets ``fault``: nothing, ``shed`` (503, not run), ``error`` (500), ``cut``
 (breaks off midway), ``part`` (ends in the middle of an event), ``mute`` (no
 answer), ``unsigned``, ``other`` (answers another request) or
-``misdirected``; it returns what ran and what it got.
+``misdirected``; ``pause`` (seconds between events) and ``delay`` (seconds
+that a plain call takes). It returns what ran and what it got.
 """
 
 import asyncio
@@ -19,7 +20,12 @@
 from tests.lib.stand_ins import make_parser, run_app
 
 EVENT_PAUSE = 0.01
-state: dict[str, Any] = {'fault': '', 'name': '', 'pause': EVENT_PAUSE}
+state: dict[str, Any] = {
+    'fault': '',
+    'name': '',
+    'pause': EVENT_PAUSE,
+    'delay': 0,
+}
 runs: list[dict[str, Any]] = []
 
 
@@ -64,6 +70,7 @@
         head['content-type'] = 'text/event-stream'
         events = _make_events(request, runs[-1])
         return StreamingResponse(events, 200, head)
+    await asyncio.sleep(state['delay'])
     return Response('done', 200, head)
 
 
