A stopping router takes only what it can finish, and waits for the end

Cause: a planned stop waited for a moment without requests while admission stayed open until the process ended. Busy routers never saw such a moment: they took requests for 6.8 s, gave tokens back while taking more, and ended with requests in progress. Class: what is let in was not tied to the time that is left, and the last wait came before the last admission. A late signal and a broken engine were ruled out before (docs/incidents). Change: a stop has a plan (operations/planned_stop): who may hold an entry answer is served if requests of the route lately took less than is left; later on, only what ends by its own deadline before the cut; others are refused as not run at once. Admission closes before the last wait, tokens go back beside it, listeners end before the process. Leaving the store's list runs beside the stop, and budgets are given back all at once.

--- a/src/dykemast/_internal/commands/instance.py
+++ b/src/dykemast/_internal/commands/instance.py
@@ -10,6 +10,7 @@
 from dykemast._internal.platform.settings import read_settings
 from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.serving.reload import follow_settings, reload_settings
+from dykemast._internal.serving.planned_stop import stop_router
 from dykemast._internal.serving.runtime import open_runtime
 from dykemast._internal.utils.events import LineHandler, make_logger, open_log
 
@@ -53,7 +54,7 @@
     runtime = await open_runtime(board)
     _log('started', hall=board.settings.hall)
     await stop.wait()
-    await runtime.stop()
+    await stop_router(runtime)
     for task in tasks:
         task.cancel()
 
--- a/src/dykemast/_internal/network/listeners.py
+++ b/src/dykemast/_internal/network/listeners.py
@@ -18,6 +18,9 @@
 class Listener(uvicorn.Server):
     """Server that leaves signals to the router."""
 
+    #: Ends after the listener has closed its connections.
+    serving: asyncio.Task[None]
+
     @contextlib.contextmanager
     def capture_signals(self) -> Any:
         """Capture none."""
@@ -76,10 +79,10 @@
     where: str,
 ) -> Listener:
     listener = Listener(config)
-    task = asyncio.create_task(listener.serve(sockets))
+    listener.serving = asyncio.create_task(listener.serve(sockets))
     async with asyncio.timeout(OPEN_TIMEOUT):
         while not listener.started:
-            if task.done():
+            if listener.serving.done():
                 raise OSError(f'{where} could not be opened.')
             await asyncio.sleep(_POLL)
     return listener
--- /dev/null
+++ b/src/dykemast/_internal/operations/route_times.py
@@ -0,0 +1,49 @@
+"""How long requests of each route took lately."""
+
+from typing import Final, NamedTuple
+
+#: Seconds of one span. The longest of this span and the one before counts, so
+#: that some requests of every route are in it and an old burst is not.
+SPAN: Final = 10.0
+
+
+class _Longest(NamedTuple):
+    span: int
+    now: float
+    before: float
+
+
+class RouteTimes:
+    """The longest of the requests that were served lately, by route."""
+
+    def __init__(self) -> None:
+        """Know nothing yet."""
+        self._longest: dict[str, _Longest] = {}
+
+    def note(self, route: str, took: float, now: float) -> None:
+        """Take note of a request that was served.
+
+        :param route: its route.
+        :param took: seconds that it took.
+        :param now: seconds on the steady clock.
+        """
+        known = self._find(route, now)
+        self._longest[route] = known._replace(now=max(known.now, took))
+
+    def measure(self, route: str, now: float) -> float:
+        """Tell how long a request of a route may well take.
+
+        :param route: the route.
+        :param now: seconds on the steady clock.
+        :returns: seconds; 0 when none was served lately.
+        """
+        known = self._find(route, now)
+        return max(known.now, known.before)
+
+    def _find(self, route: str, now: float) -> _Longest:
+        span = int(now / SPAN)
+        known = self._longest.get(route, _Longest(span, 0, 0))
+        if known.span == span:
+            return known
+        before = known.now if known.span == span - 1 else 0
+        return _Longest(span, 0, before)
--- a/src/dykemast/_internal/serving/admission.py
+++ b/src/dykemast/_internal/serving/admission.py
@@ -19,6 +19,9 @@
 #: Seconds after which a caller may come back when no configuration is known:
 #: a router that starts reads it within a few tenths.
 CONFIGURATION_RETRY: Final = 0.5
+#: Seconds after which a caller may come back to another router when this one
+#: is stopping: by choice, about the time that a new entry answer takes.
+STOPPING_RETRY: Final = 0.05
 
 
 def admit(board: ServingBoard, scope: Any) -> Ticket:
@@ -37,10 +40,12 @@
         )
     route = table.find_route(request.host, request.path)
     if route is None:
-        details = {'version': table.version, 'path': request.path}
-        raise RefusedError(RefusalCode.no_route, details)
+        raise RefusedError(
+            RefusalCode.no_route,
+            {'version': table.version, 'path': request.path},
+        )
     started = time.monotonic()
-    return Ticket(
+    ticket = Ticket(
         request=request,
         route=route,
         service=table.services[_draw_share(route.shares)],
@@ -49,6 +54,23 @@
         deadline=started + _limit_time(request, route),
         version=table.version,
     )
+    _check_stop(board, ticket)
+    return ticket
+
+
+def _check_stop(board: ServingBoard, ticket: Ticket) -> None:
+    plan = board.stop_plan
+    if plan is None:
+        return
+    usual = board.usual_times.measure(ticket.route.name, ticket.started)
+    if plan.may_admit(ticket.started, ticket.deadline, usual):
+        return
+    details = {
+        'left_s': round(ticket.deadline - ticket.started, 3),
+        'usual_s': round(usual, 3),
+        'router_left_s': round(plan.cut_at - ticket.started, 3),
+    }
+    raise RefusedError(RefusalCode.stopping, details, STOPPING_RETRY)
 
 
 def _decode(scope: Any) -> CallerRequest:
--- a/src/dykemast/_internal/serving/application.py
+++ b/src/dykemast/_internal/serving/application.py
@@ -67,7 +67,8 @@
     records.log_admitted(ticket, _describe_connection(scope))
     work = dispatch.serve_ticket(parts, ticket, body, responder)
     served = await run_until_left(work, receive)
-    records.note_end(parts, ticket, 'served' if served else 'caller_left')
+    outcome = records.SERVED if served else 'caller_left'
+    records.note_end(parts, ticket, outcome)
 
 
 def _describe_connection(scope: Any) -> str:
--- a/src/dykemast/_internal/serving/board.py
+++ b/src/dykemast/_internal/serving/board.py
@@ -11,7 +11,7 @@
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.models.news import ListState, Strain
 from dykemast._internal.models.routing_table import RoutingTable
-from dykemast._internal.operations.demand import Demand
+from dykemast._internal.operations import demand, planned_stop, route_times
 from dykemast._internal.platform.store_types import StoreObject
 
 #: Seconds since the last news after which a peer counts as silent: several
@@ -70,9 +70,12 @@
     :param inflight: requests in progress; ``serving.application``.
     :param arrivals: requests that came; ``serving.application``.
     :param stopping: whether this router is about to end;
-        ``serving.runtime``.
+        ``serving.planned_stop``.
+    :param stop_plan: how it ends, once it is stopping;
+        ``serving.planned_stop``.
     :param store_away_since: seconds since when the store does not answer,
         0 while it does; ``serving.store_state``.
+    :param usual_times: how long requests took lately; ``serving.records``.
     """
 
     settings: InstanceSettings
@@ -94,11 +97,15 @@
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     peers_read: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     inflight: int = 0
-    arrivals: Demand = dataclasses.field(
-        default_factory=lambda: Demand(ARRIVAL_WINDOW)
+    arrivals: demand.Demand = dataclasses.field(
+        default_factory=lambda: demand.Demand(ARRIVAL_WINDOW)
     )
     stopping: bool = False
+    stop_plan: planned_stop.StopPlan | None = None
     store_away_since: float = 0
+    usual_times: route_times.RouteTimes = dataclasses.field(
+        default_factory=route_times.RouteTimes
+    )
 
     def count_version(self) -> int:
         """Tell the version of the configuration in force.
--- a/src/dykemast/_internal/serving/budget_upkeep.py
+++ b/src/dykemast/_internal/serving/budget_upkeep.py
@@ -51,10 +51,14 @@
 
     :param upkeep: what it needs.
     """
-    for account in upkeep.budgets.accounts.values():
+    accounts = list(upkeep.budgets.accounts.values())
+    for account in accounts:
         _drop_spare(account)
-        if upkeep.writer.may_try():
-            await upkeep.writer.write(account, spare=False)
+    if upkeep.writer.may_try():
+        # All at once: one after the other, ten budgets would take longer than
+        # a stop has when a call takes 0.1 s.
+        writes = (upkeep.writer.write(one, spare=False) for one in accounts)
+        await asyncio.gather(*writes)
 
 
 def _obey_table(upkeep: Upkeep, account: Account) -> None:
--- a/src/dykemast/_internal/serving/entry.py
+++ b/src/dykemast/_internal/serving/entry.py
@@ -14,14 +14,12 @@
     encode_entry,
 )
 from dykemast._internal.serving.board import Peer, ServingBoard, list_heard
+from dykemast._internal.serving.entry_ttl import measure_entry_ttl
 from dykemast._internal.serving.meters import render_meters
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.responder import Receive, Responder, Send
 from dykemast._internal.serving.strain import measure_strain
 
-#: Seconds for which callers may keep an entry answer: long enough that they
-#: ask seldom, short enough that a stopped router is left in time.
-ENTRY_TTL: Final = 1.5
 #: Addresses in one answer at most.
 MAX_ADDRESSES: Final = 64
 _OK: Final = 200
@@ -70,7 +68,7 @@
     if not decode_entry_name(scope) or not addresses:
         await responder.answer(_NOT_READY, [], b'')
         return
-    ttl = min(ENTRY_TTL, board.settings.bounds.max_entry_ttl)
+    ttl = measure_entry_ttl(board)
     await responder.answer(_OK, [_JSON], encode_entry(addresses, ttl))
 
 
--- a/src/dykemast/_internal/serving/records.py
+++ b/src/dykemast/_internal/serving/records.py
@@ -1,7 +1,7 @@
 """What is logged and counted of each request."""
 
 import time
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.ticket import Ticket
@@ -11,6 +11,10 @@
 _log = make_logger('request')
 
 
+#: Outcome of a request that got its whole answer.
+SERVED: Final = 'served'
+
+
 class CutRequest(NamedTuple):
     """A request that was in progress when the process ended.
 
@@ -75,9 +79,12 @@
 
     :param parts: parts of the program.
     :param ticket: the request.
-    :param outcome: ``served`` or ``caller_left``.
+    :param outcome: ``SERVED`` or ``caller_left``.
     """
-    took = time.monotonic() - ticket.started
+    now = time.monotonic()
+    took = now - ticket.started
+    if outcome == SERVED:
+        parts.board.usual_times.note(ticket.route.name, took, now)
     kind = ticket.route.kind.value
     parts.meters.requests.inc({'kind': kind, 'outcome': outcome})
     parts.meters.whole.observe({'kind': kind}, took)
--- a/src/dykemast/_internal/serving/runtime.py
+++ b/src/dykemast/_internal/serving/runtime.py
@@ -1,37 +1,23 @@
-"""The running program, its start and its planned stop."""
+"""The running program and its start."""
 
 import asyncio
 import socket
-import time
 from typing import Any, Final, NamedTuple
 
 from dykemast._internal.models.deployment import Endpoint
 from dykemast._internal.network.listeners import Listener, open_on_sockets
 from dykemast._internal.serving import (
     application,
-    budget_upkeep,
     entry,
-    gossip,
     loops,
-    members,
     peer_calls,
 )
 from dykemast._internal.serving.assembly import Assembly, assemble
 from dykemast._internal.serving.board import ServingBoard
 from dykemast._internal.serving.parts import Parts
-from dykemast._internal.utils.events import make_logger
-
-_log = make_logger('router')
 
 #: Connections that wait to be accepted.
 BACKLOG: Final = 512
-#: Times the length of an entry answer's life that most callers keep it for.
-KEPT_FACTOR: Final = 2
-#: Seconds before the kill at which requests have to be done, and for which
-#: tokens are given back after that.
-STOP_MARGIN: Final = 1.2
-GIVE_BACK_TIMEOUT: Final = 0.9
-_POLL: Final = 0.05
 
 
 class Runtime(NamedTuple):
@@ -48,36 +34,6 @@
     listeners: list[Listener]
     tasks: list[asyncio.Task[None]]
 
-    async def stop(self) -> None:
-        """Stop without cutting off a request."""
-        board = self.assembly.parts.board
-        started = time.monotonic()
-        board.stopping = True
-        _log('stopping', inflight=board.inflight)
-        await gossip.tell_all(board, self.assembly.links.gossip)
-        await members.unlist_self(board, self.assembly.upkeep.store)
-        await _wait_until_unused(board, started)
-        await self._give_back()
-        self._close()
-        _log('stopped', inflight=board.inflight)
-
-    async def _give_back(self) -> None:
-        work = asyncio.create_task(
-            budget_upkeep.give_back(self.assembly.upkeep)
-        )
-        _, late = await asyncio.wait((work,), timeout=GIVE_BACK_TIMEOUT)
-        if late:
-            work.cancel()
-            _log('tokens_not_given_back', reason='the store was too slow')
-
-    def _close(self) -> None:
-        for listener in self.listeners:
-            listener.should_exit = True
-        for task in self.tasks:
-            task.cancel()
-        self.peer_server.close()
-        self.assembly.links.gossip.close()
-
 
 async def open_runtime(board: ServingBoard) -> Runtime:
     """Start the router.
@@ -109,13 +65,3 @@
 
 def _listen(endpoint: Endpoint) -> socket.socket:
     return socket.create_server(endpoint, backlog=BACKLOG)
-
-
-async def _wait_until_unused(board: ServingBoard, started: float) -> None:
-    limit = started + board.settings.bounds.stop_timeout - STOP_MARGIN
-    # Callers use kept entry answers for a while yet.
-    kept_until = started + entry.ENTRY_TTL * KEPT_FACTOR
-    while time.monotonic() < limit:
-        if time.monotonic() > kept_until and not board.inflight:
-            return
-        await asyncio.sleep(_POLL)
