--- a/src/dykemast/_internal/blackboard.py
+++ b/src/dykemast/_internal/blackboard.py
@@ -8,6 +8,7 @@
 from dykemast._internal.models.fleet import Instance, LoadReport, PeerCard
 from dykemast._internal.models.revisions import Revision
 from dykemast._internal.models.settings import RouterSettings
+from dykemast._internal.operations.planned_stop import StopPlan
 
 
 @dataclasses.dataclass
@@ -78,12 +79,14 @@
     :param by_worker: requests sent to each worker and not yet answered.
     :param by_workspace: requests in progress by workspace.
     :param leaving: whether this router is stopping.
+    :param stop_plan: how it ends, once it is; ``controllers.runtime``.
     """
 
     inflight: int = 0
     by_worker: dict[str, int] = dataclasses.field(default_factory=dict)
     by_workspace: dict[str, int] = dataclasses.field(default_factory=dict)
     leaving: bool = False
+    stop_plan: StopPlan | None = None
 
 
 @dataclasses.dataclass
--- a/src/dykemast/_internal/controllers/runtime.py
+++ b/src/dykemast/_internal/controllers/runtime.py
@@ -8,6 +8,7 @@
 
 from dykemast._internal.blackboard import Blackboard
 from dykemast._internal.controllers.assembly import Assembly, assemble
+from dykemast._internal.controllers import stopping
 from dykemast._internal.controllers.http_apis import open_listeners
 from dykemast._internal.exceptions import DykemastError
 from dykemast._internal.network.listeners import Listener
@@ -16,7 +17,6 @@
 
 _log = logbook.Logger('router')
 
-_POLL: Final = 0.05
 #: Tries to give all leases back at a planned stop.
 CLOSE_TRIES: Final = 5
 
@@ -41,16 +41,17 @@
         :param hasten: set when requests in progress may be cut off.
         """
         board = self.assembly.parts.board
-        board.traffic.leaving = True
+        plan = stopping.begin_stop(board)
         await self.assembly.news.spread()
-        await _wait_until_unused(board, hasten)
-        for listener in self.listeners:
-            listener.should_exit = True
-        await wait_apart()
+        await stopping.wait_until_unused(board, plan, hasten)
+        # From here on nothing is let in that nobody would wait for.
+        stopping.close_admission(board, plan)
+        await stopping.close_listeners(self.listeners)
         await self._give_back()
         await self._close()
 
     async def _give_back(self) -> None:
+        await wait_apart()
         for attempt in range(CLOSE_TRIES):
             try:
                 await self._write_last()
@@ -93,15 +94,3 @@
     )
     tasks = [asyncio.create_task(loop()) for loop in assembly.list_loops()]
     return Runtime(assembly, await open_listeners(assembly), peers, tasks)
-
-
-async def _wait_until_unused(board: Blackboard, hasten: asyncio.Event) -> None:
-    settings = board.settings
-    loop = asyncio.get_running_loop()
-    # Callers use kept entry answers for a while yet.
-    kept_until = loop.time() + settings.get('keep_entry', 0)
-    limit = kept_until + settings.get('drain_timeout', 0)
-    while loop.time() < limit and not hasten.is_set():
-        if loop.time() > kept_until and not board.traffic.inflight:
-            return
-        await asyncio.sleep(_POLL)
--- a/src/dykemast/_internal/models/requests.py
+++ b/src/dykemast/_internal/models/requests.py
@@ -31,6 +31,7 @@
     upstream_failed = 'upstream_failed'
     no_worker = 'no_worker'
     not_ready = 'not_ready'
+    stopping = 'stopping'
     platform_away = 'platform_away'
     too_late = 'too_late'
 
@@ -53,6 +54,7 @@
         Code.upstream_failed: 502,
         Code.no_worker: 503,
         Code.not_ready: 503,
+        Code.stopping: 503,
         Code.platform_away: 503,
         Code.too_late: 504,
     }
--- a/src/dykemast/_internal/path/admission.py
+++ b/src/dykemast/_internal/path/admission.py
@@ -23,6 +23,9 @@
 BUSY_RETRY: Final = 2
 #: Seconds after which a router that just started should be ready.
 READY_RETRY: Final = 3
+#: Seconds after which a caller that met a stopping router may try another: the
+#: least that the field can say.
+STOPPING_RETRY: Final = 1
 
 
 def find_configuration(board: Blackboard) -> Configuration:
@@ -97,14 +100,22 @@
     )
 
 
-def check_room(board: Blackboard, workspace: WorkspaceSpec) -> None:
-    """Check that one more request may run.
+def check_room(board: Blackboard, workspace: WorkspaceSpec, ask: Ask) -> None:
+    """Check that one more request may run, and will end before the router.
 
     :param board: the blackboard.
     :param workspace: who asks.
-    :raises RefusedError: when too many are in progress.
+    :param ask: the request.
+    :raises RefusedError: when too many are in progress, or this router is
+        stopping and could cut the request off.
     """
     traffic = board.traffic
+    plan = traffic.stop_plan
+    if plan and not plan.may_admit(time.monotonic(), ask.deadline, usual=0):
+        text = 'This router is stopping; ask /v1/entry for others.'
+        raise RefusedError(
+            Refusal(Code.stopping, text, retry_after=STOPPING_RETRY)
+        )
     if traffic.inflight >= MAX_INFLIGHT:
         text = 'This router is full; ask /v1/entry for others.'
         raise RefusedError(Refusal(Code.too_busy, text, retry_after=BUSY_RETRY))
--- a/src/dykemast/_internal/path/calls.py
+++ b/src/dykemast/_internal/path/calls.py
@@ -31,7 +31,7 @@
     ask = admission.make_ask(parts.board, workspace['name'], request, safe=safe)
     service = _find_service(parts, request.path_params['service'])
     order = _make_order(service, request)._replace(body=body)
-    admission.check_room(parts.board, workspace)
+    admission.check_room(parts.board, workspace, ask)
     return await _run_job(parts, Job(parts, ask), order, workspace)
 
 
--- a/src/dykemast/_internal/path/chat.py
+++ b/src/dykemast/_internal/path/chat.py
@@ -34,7 +34,7 @@
     workspace = admission.find_workspace(parts.board, request.headers)
     ask = admission.make_ask(parts.board, workspace['name'], request, safe=True)
     fields = read_chat(body)
-    admission.check_room(parts.board, workspace)
+    admission.check_room(parts.board, workspace, ask)
     job = Job(parts, ask)
     try:
         exchange = await _begin(parts, job, fields, workspace)
--- a/tests/functional/test_crashes.py
+++ b/tests/functional/test_crashes.py
@@ -1,6 +1,9 @@
 """Routers that are killed, frozen, or stopped as planned."""
 
 import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+from http import client as http_client
 
 from tests.lib.caller import ask_chat, ask_service
 from tests.lib.fixtures import (
@@ -83,3 +86,34 @@
     assert stopping.wait(timeout=HANG_GUARD) == 0
     assert not count_leases(fleet, 'router-0')
     assert count_bills(fleet, ['last']) == {1}
+
+
+def start_streams_until_gone(fleet: Fleet) -> list[bytes]:
+    """Stop a router; begin a stream of 1.5 s every 0.2 s until it has ended."""
+    stopping = fleet.running['router-0']
+    stopping.send_signal(signal.SIGTERM)
+    with ThreadPoolExecutor(64) as callers:
+        asked = []
+        while stopping.poll() is None:
+            asked.append(callers.submit(try_stream, fleet, len(asked)))
+            time.sleep(0.2)
+    return [one.result() for one in asked]
+
+
+def try_stream(fleet: Fleet, number: int) -> bytes:
+    try:
+        _, response = open_stream(fleet, 0, 'hi stop=300', key=f's{number}')
+    except (OSError, http_client.HTTPException):
+        return b''
+    return read_rest(response)
+
+
+def test_a_stopping_router_refuses_what_it_would_cut_off() -> None:
+    # Callers that keep an entry answer go on asking a router that has SIGTERM.
+    # It took their streams until its own time was over, and ended with them.
+    fleet = make_fleet(routers=2, drain_timeout=4)
+    texts = start_streams_until_gone(fleet)
+    began = [text for text in texts if b'data:' in text]
+    refused = [text for text in texts if b'"stopping"' in text]
+    assert all(text.endswith(b'data: [DONE]\n\n') for text in began)
+    assert began and refused
--- a/tests/lib/fixtures.py
+++ b/tests/lib/fixtures.py
@@ -20,9 +20,9 @@
     return fleet
 
 
-def make_fleet(routers: int = 3) -> Fleet:
+def make_fleet(routers: int = 3, **settings: Any) -> Fleet:
     """Start a fleet that one test may break."""
-    fleet = Fleet(plan_layout(routers=routers, engines=2))
+    fleet = Fleet(plan_layout(routers=routers, engines=2), **settings)
     atexit.register(fleet.stop)
     fleet.start()
     return fleet
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -27,11 +27,13 @@
     """Processes of a fleet.
 
     :param layout: what it consists of.
+    :param settings: of the routers, in place of the usual ones.
     """
 
-    def __init__(self, layout: Layout) -> None:
+    def __init__(self, layout: Layout, **settings: Any) -> None:
         """Start nothing yet."""
         self.layout = layout
+        self._settings = settings
         self.running: dict[str, subprocess.Popen[bytes]] = {}
         self._folder = tempfile.TemporaryDirectory()
         self.logs = Path(self._folder.name)
@@ -75,7 +77,8 @@
         :param router: which one.
         """
         path = self.logs / f'{router.name}.yaml'
-        path.write_text(yaml.safe_dump(make_settings(self.layout, router)))
+        settings = {**make_settings(self.layout, router), **self._settings}
+        path.write_text(yaml.safe_dump(settings))
         self.run(router.name, 'dykemast', 'router', '--settings', str(path))
 
     def run(self, name: str, module: str, *words: str) -> None:
