A log line always names the process that wrote it

`peer_new` carried the peer's incarnation under the name that tells whose line it is, and fields of a line went before those of the process. Ruled out: other lines with such names; there are none in the sources. Change: the peer's is `peer_incarnation`, and the process's own fields win. Conclusion: a search for one incarnation finds its lines alone.

--- a/src/dykemast/_internal/serving/members.py
+++ b/src/dykemast/_internal/serving/members.py
@@ -61,7 +61,11 @@
     known = board.peers.get(card.instance)
     if known is None or known.card.incarnation != card.incarnation:
         board.peers[card.instance] = Peer(card)
-        _log('peer_new', peer=card.instance, incarnation=card.incarnation)
+        _log(
+            'peer_new',
+            peer=card.instance,
+            peer_incarnation=card.incarnation,
+        )
 
 
 async def list_self(board: ServingBoard, store: ObjectStore) -> None:
--- a/src/dykemast/_internal/utils/events.py
+++ b/src/dykemast/_internal/utils/events.py
@@ -57,6 +57,8 @@
             **self._fields,
             **record.extra,
         }
+        # Whose line it is must not depend on what the line is about.
+        line.update(self._fields)
         self._lines.append(_encode_line(line))
 
     async def write_lines(self) -> None:
