--- a/src/dykemast/_internal/models/budget_ledger.py
+++ b/src/dykemast/_internal/models/budget_ledger.py
@@ -29,6 +29,7 @@
     :param rows: by incarnation.
     :param closed: tokens charged for ended incarnations.
     :param closed_spent: tokens that these are known to have consumed.
+    :param closed_spare: tokens that these kept spare, consumed by nobody.
     """
 
     version: int
@@ -36,6 +37,7 @@
     rows: dict[str, LedgerRow]
     closed: int = 0
     closed_spent: int = 0
+    closed_spare: int = 0
 
     def count_free(self) -> int:
         """Count the tokens that no router may consume yet.
--- a/src/dykemast/_internal/operations/ledger_rows.py
+++ b/src/dykemast/_internal/operations/ledger_rows.py
@@ -51,14 +51,19 @@
         for name, row in ledger.rows.items()
         if row.instance == identity.instance and name != identity.incarnation
     }
-    limits = sum(row.limit for row in ended.values())
-    spent = sum(row.spent for row in ended.values())
+    kept = dict(ledger.rows)
+    for name in ended:
+        kept.pop(name)
+    return _charge(ledger._replace(rows=kept), list(ended.values()))
+
+
+def _charge(ledger: BudgetLedger, ended: list[LedgerRow]) -> BudgetLedger:
+    limits = sum(row.limit for row in ended)
+    charged = sum(row.charged for row in ended)
     return ledger._replace(
-        rows={
-            name: row for name, row in ledger.rows.items() if name not in ended
-        },
         closed=ledger.closed + limits,
-        closed_spent=ledger.closed_spent + spent,
+        closed_spent=ledger.closed_spent + sum(row.spent for row in ended),
+        closed_spare=ledger.closed_spare + limits - charged,
     )
 
 
--- a/src/dykemast/_internal/operations/spare_size.py
+++ b/src/dykemast/_internal/operations/spare_size.py
@@ -10,6 +10,11 @@
 #: figure and those below are from trials on days that have both
 #: (docs/design/machines.md).
 SPARE_SHARE: Final = 0.5
+#: Part of a budget that may be lost in all as spare of routers that died. What
+#: is kept spare shrinks as that is used up. By these rules alone, without the
+#: bound, four deaths of three routers stranded 98 of 100 tokens that nobody
+#: consumed; on whole days one death of all strands about a fifth.
+LOSS_SHARE: Final = 0.3
 #: Seconds of demand to keep spare at most.
 SPARE_TIME: Final = 4.0
 #: Tokens to keep spare beyond that: a request of the larger kind.
@@ -39,7 +44,13 @@
     demand = ledger.rows[identity.incarnation].demand
     wanted = SPARE_FLOOR + SPARE_TIME * demand
     share = _measure_share(ledger, demand, routers)
-    return int(min(wanted, SPARE_SHARE * share * ledger.count_unused()))
+    most = min(SPARE_SHARE * ledger.count_unused(), _measure_risk(ledger))
+    return int(min(wanted, share * most))
+
+
+def _measure_risk(ledger: BudgetLedger) -> float:
+    """Measure how many tokens may still be lost to deaths."""
+    return max(0, LOSS_SHARE * ledger.prepaid - ledger.closed_spare)
 
 
 def _measure_share(
--- a/tests/unit/test_ledger_fuzz.py
+++ b/tests/unit/test_ledger_fuzz.py
@@ -188,5 +188,4 @@
     world.read(survivor)
     world.apply(world.plan(survivor, 0, spare=False))
     assert world.ledger is not None
-    stranded = world.ledger.closed / world.prepaid
-    assert 0 < stranded < 0.5
+    assert 0 < world.ledger.closed < world.prepaid / 2
