Callers cannot speak for the router: control fields stay here

Cause: header fields of a caller went on unless a list of what was thought of named them. So what steers an engine went on as a caller sent it: it could jump an engine's queue, keep its memory, or point it at an address of its choice. Beside it, of the same class, who says what a field is: - of several `Connection` fields only the last was read, so fields that the others list went on; - a caller who listed X-Model or X-Token-Usage in `Connection` made the router drop it: the router counted the declared tokens, the engine never saw them; - a name with an underscore (`x_hold`, `x_tenant`) went on; servers that hand fields over as variables take it for the one with a hyphen. Ruled out as causes: case (the ASGI server lowers names; now the decoder does, too) and forged X-Tenant, X-Expect-Instance, X-Request-Priority (replaced on the code before as well; the test for them passes on it).

Change: platform/caller_fields decides alone. What a caller may mean to a backend server is a list (names.CALLER_FIELDS) and arrives whatever `Connection` lists. Other fields go on only if no server can take them for one with a meaning. Last-Event-Id is a router's word: sent once, out of `request.after_event`, so whoever clears that drops it.

Weighed: - only listed names go on: safe, but the protocol passes ordinary fields on; - a set of the protocol's control names: ordinary fields are never hit, but the next field of an engine is a hole until somebody thinks of it, which is this fault again; - families by first words (taken): a later `Kv-...` or `X-Hold-...` is dropped unknown. `Kv` both with and without X, as the protocol writes both; the others with X only, so that `Expect-Ct` or `Hold` of an application arrive. No family of X-Tenant (X-Tenant-Id is common in applications), X-Request (X-Request-Id) or Wait: these names alone.

Conclusion: no field that steers an engine comes from a caller. Not mended here: Last-Event-Id on a route that may not be resumed still goes on, as only serving knows the route.

--- /dev/null
+++ b/src/dykemast/_internal/platform/caller_fields.py
@@ -0,0 +1,49 @@
+"""Which header fields of a caller go on to a backend server.
+
+Only what is listed as a caller's to say may mean something to a backend
+server. Other fields go on if no server can take them for one that has a
+meaning: neither for one of the router's words, nor for a control field of
+engines, nor for a second opinion on what a caller declares.
+"""
+
+from typing import Final
+
+from dykemast._internal.platform import names
+
+Fields = list[tuple[str, str]]
+
+_CONNECTION: Final = 'connection'
+#: Names with a meaning, so that no other field may be read as one of them.
+_TAKEN: Final = names.HOP_FIELDS | names.OWN_FIELDS | names.CALLER_FIELDS
+_FAMILIES: Final = tuple(f'{name}-' for name in names.CONTROL_FAMILIES)
+
+
+def choose_passed_on(pairs: Fields) -> Fields:
+    """Choose the fields that go on.
+
+    :param pairs: all fields of a caller, with names in lower case.
+    :returns: those that go on, unchanged and in order.
+    """
+    listed = _find_listed(pairs)
+    return [pair for pair in pairs if _goes_on(pair[0], listed)]
+
+
+def _find_listed(pairs: Fields) -> frozenset[str]:
+    """Find the names that a caller lists as its connection's."""
+    listings = [text for name, text in pairs if name == _CONNECTION]
+    listed = ','.join(listings).lower().split(',')
+    return frozenset(name.strip() for name in listed)
+
+
+def _goes_on(name: str, listed: frozenset[str]) -> bool:
+    # What is meant for the server does not end with the connection, whatever
+    # a caller lists there: the router and the server have to see the same.
+    if name in names.CALLER_FIELDS:
+        return True
+    return name not in listed and not _means_something(name)
+
+
+def _means_something(name: str) -> bool:
+    # Some servers take an underscore for a hyphen.
+    read_as = name.replace('_', '-')
+    return read_as in _TAKEN or f'{read_as}-'.startswith(_FAMILIES)
--- a/src/dykemast/_internal/platform/names.py
+++ b/src/dykemast/_internal/platform/names.py
@@ -22,6 +22,12 @@
 TOKENS: Final = 'x-token-usage'
 #: ``KEY:TOKENS,...``: parts of the prompt in order; no hash of the whole.
 PROMPT: Final = 'x-prefix-hash'
+#: Name of the model that is asked.
+MODEL: Final = 'x-model'
+#: The caller's guess of how many tokens come out.
+LENGTH_HINT: Final = 'x-length-hint'
+#: Milliseconds for which an engine may hold a call of a router.
+WAIT: Final = 'wait-ms'
 #: Signature of the backend server that answered.
 SIGNATURE: Final = 'x-response-seal'
 #: Says that the backend server did not run the request.
@@ -42,14 +48,39 @@
         'upgrade',
     )
 )
-#: Fields of a caller that this router sets itself.
+#: Fields that only a router says to a backend server; what a caller says
+#: there is for the router.
 OWN_FIELDS: Final = frozenset(
     (
         'host',
         AUTHORIZATION,
         DEADLINE,
         EXPECTED_SERVER,
+        LAST_EVENT,
         PRIORITY,
+        WAIT,
         WORKSPACE,
     )
 )
+#: Fields by which a caller may mean something to a backend server.
+CALLER_FIELDS: Final = frozenset(
+    (
+        ATTEMPT_ID,
+        LENGTH_HINT,
+        MODEL,
+        PROMPT,
+        TOKENS,
+    )
+)
+#: First words of the fields that steer backend servers: what an engine
+#: keeps, moves, sets aside, admits first or insists on. Whole families, so
+#: that one which this router does not know is no caller's either.
+CONTROL_FAMILIES: Final = (
+    'kv',
+    'x-deadline',
+    'x-expect',
+    'x-hold',
+    'x-kv',
+    'x-pin',
+    'x-request-priority',
+)
--- a/src/dykemast/_internal/platform/request_headers.py
+++ b/src/dykemast/_internal/platform/request_headers.py
@@ -5,6 +5,10 @@
 from dykemast._internal.models.caller_request import CallerRequest
 from dykemast._internal.models.forwarding import Forwarding
 from dykemast._internal.platform import names
+from dykemast._internal.platform.caller_fields import (
+    Fields,
+    choose_passed_on,
+)
 from dykemast._internal.platform.prompt_headers import (
     decode_patience,
     decode_prompt,
@@ -14,8 +18,6 @@
 _ENCODING: Final = 'latin-1'
 _MS: Final = 1000.0
 
-Fields = list[tuple[str, str]]
-
 
 def find_request_id(scope: Any) -> str:
     """Find the id that the caller gave a request.
@@ -38,7 +40,7 @@
     :raises ValueError: when a field makes no sense.
     """
     pairs = [
-        (name.decode(_ENCODING), text.decode(_ENCODING))
+        (name.decode(_ENCODING).lower(), text.decode(_ENCODING))
         for name, text in scope['headers']
     ]
     fields = dict(pairs)
@@ -51,7 +53,7 @@
         target=_decode_target(scope),
         key=_decode_key(fields.get(names.AUTHORIZATION, '')),
         patience=decode_patience(fields.get(names.DEADLINE)),
-        headers=_choose_passed_on(pairs, fields.get('connection', '')),
+        headers=choose_passed_on(pairs),
         prompt_tokens=tokens.prompt,
         output_tokens=tokens.output,
         prompt=decode_prompt(fields.get(names.PROMPT)),
@@ -76,18 +78,10 @@
         own.append((names.WORKSPACE, added.workspace))
     if added.priority is not None:
         own.append((names.PRIORITY, str(added.priority)))
-    if not added.after_event:
-        return [*request.headers, *own]
-    own.append((names.LAST_EVENT, added.after_event))
-    kept = [pair for pair in request.headers if pair[0] != names.LAST_EVENT]
-    return kept + own
-
-
-def _choose_passed_on(pairs: Fields, connection: str) -> Fields:
-    # Names listed in "Connection" concern this connection only, too.
-    listed = {name.strip() for name in connection.lower().split(',')}
-    left_out = names.HOP_FIELDS | names.OWN_FIELDS | listed
-    return [pair for pair in pairs if pair[0] not in left_out]
+    after_event = added.after_event or request.after_event
+    if after_event:
+        own.append((names.LAST_EVENT, after_event))
+    return [*request.headers, *own]
 
 
 def _decode_target(scope: Any) -> str:
