What a caller declares twice is refused

Cause: of a field that is there twice the router took the last, and sent both. A server that takes the first (the stand-in does) runs another request than the router counts: with `X-Token-Usage: 9000,9` and then `1,1` a budget was asked for 2 tokens, and the server read 9000,9. Repeats of ordinary fields are lists and go on. Weighed: to send only the one that the router took. It would make both see the same, but choose between two statements of a caller by their order; a proxy before this one may choose otherwise. Nothing has run at that point, and a 400 tells the caller. Conclusion: router and server see the same declaration.

--- a/src/dykemast/_internal/platform/caller_fields.py
+++ b/src/dykemast/_internal/platform/caller_fields.py
@@ -6,6 +6,7 @@
 engines, nor for a second opinion on what a caller declares.
 """
 
+from collections import Counter
 from typing import Final
 
 from dykemast._internal.platform import names
@@ -18,6 +19,20 @@
 _FAMILIES: Final = tuple(f'{name}-' for name in names.CONTROL_FAMILIES)
 
 
+def check_declared(pairs: Fields) -> None:
+    """Check that a caller declares nothing twice.
+
+    The router would count by one declaration, and the server run the other.
+
+    :param pairs: all fields of a caller, with names in lower case.
+    :raises ValueError: when it does.
+    """
+    counts = Counter(name for name, _ in pairs)
+    for name in names.CALLER_FIELDS:
+        if counts[name] > 1:
+            raise ValueError(f'{name} is there twice')
+
+
 def choose_passed_on(pairs: Fields) -> Fields:
     """Choose the fields that go on.
 
--- a/src/dykemast/_internal/platform/request_headers.py
+++ b/src/dykemast/_internal/platform/request_headers.py
@@ -7,6 +7,7 @@
 from dykemast._internal.platform import names
 from dykemast._internal.platform.caller_fields import (
     Fields,
+    check_declared,
     choose_passed_on,
 )
 from dykemast._internal.platform.prompt_headers import (
@@ -43,6 +44,7 @@
         (name.decode(_ENCODING).lower(), text.decode(_ENCODING))
         for name, text in scope['headers']
     ]
+    check_declared(pairs)
     fields = dict(pairs)
     tokens = decode_tokens(fields.get(names.TOKENS))
     return CallerRequest(
--- a/tests/functional/test_control_fields.py
+++ b/tests/functional/test_control_fields.py
@@ -4,6 +4,7 @@
 import itertools
 import uuid
 from http import client as http_client
+from typing import Any
 
 from tests.lib.shared_deployment import start_shared
 from tests.lib.users_objects import HOST, KEY
@@ -94,15 +95,19 @@
 
 
 def find_got(request_id: str) -> dict[str, str]:
+    runs = find_runs(request_id)
+    assert len(runs) == 1
+    return runs[0]['headers']
+
+
+def find_runs(request_id: str) -> list[dict[str, Any]]:
     deployment = start_shared()
-    runs = [
+    return [
         run
         for engine in ENGINES
         for run in deployment.control(engine)['runs']
         if run['id'] == request_id
     ]
-    assert len(runs) == 1
-    return runs[0]['headers']
 
 
 def find_arrived(fields: Fields) -> list[str]:
@@ -184,3 +189,11 @@
 
 def test_a_caller_takes_up_a_stream_that_may_be_resumed() -> None:
     assert ask(('Last-Event-Id', '12'))['last-event-id'] == '12'
+
+
+def test_what_is_declared_twice_is_refused() -> None:
+    request_id = uuid.uuid4().hex
+    for again in (*DECLARED, ('x-token-usage', '1,1'), ('x-model', 'n')):
+        sent = (('X-Attempt-Id', request_id), *DECLARED, again)
+        assert send('/stream/a', *sent) == 400
+    assert not find_runs(request_id)
--- a/tests/unit/test_caller_fields.py
+++ b/tests/unit/test_caller_fields.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
+from unittest import TestCase
 
 from hypothesis import given, strategies
 
@@ -178,6 +179,12 @@
     assert got == DECLARED + SAID
 
 
+@given(strategies.sampled_from(DECLARED), strategies.text(PRINTABLE))
+def test_what_is_declared_twice_is_refused(field: Field, text: str) -> None:
+    with TestCase().assertRaisesRegex(ValueError, f'{field[0]} is there twice'):
+        forward(*DECLARED, (field[0].title(), text))
+
+
 def test_the_last_event_is_said_once() -> None:
     got = forward(*DECLARED, ('last-event-id', '12'), ('last_event_id', '3'))
     assert got == (*DECLARED, *SAID, ('last-event-id', '12'))
--- a/tools/serving_mutations.py
+++ b/tools/serving_mutations.py
@@ -96,6 +96,14 @@
         "','.join(listings[:1])",
         'test_fields_that_a_connection',
     ),
+    Mutation(
+        'count by one declaration and send two',
+        'spend never exceeds the budget',
+        f'{_INTERNAL}/platform/caller_fields.py',
+        'if counts[name] > 1:',
+        'if counts[name] > 2:',
+        'test_what_is_declared_twice',
+    ),
     Mutation(
         'name no server in a send',
         'the server that is meant',
