Fields of a caller beyond ASCII arrive as they were sent

Cause: found by the test that ordinary fields arrive unchanged. Texts were read a byte a sign (Latin-1), and the client library writes UTF-8, so each byte beyond ASCII became two: `C3 A9` arrived as `C3 83 C2 A9`, also in X-Model. Ruled out: the stand-in; it reads bytes one by one, and ASCII arrives as sent. Change: a text that is UTF-8 is read as that, any other as Latin-1 as before. Conclusion: what is UTF-8 arrives unchanged. Open: other bytes.

--- a/src/dykemast/_internal/platform/request_headers.py
+++ b/src/dykemast/_internal/platform/request_headers.py
@@ -29,7 +29,7 @@
     wanted = names.ATTEMPT_ID.encode()
     for name, text in scope['headers']:
         if name == wanted:
-            return text.decode(_ENCODING)
+            return _decode_text(text)
     return ''
 
 
@@ -41,7 +41,7 @@
     :raises ValueError: when a field makes no sense.
     """
     pairs = [
-        (name.decode(_ENCODING).lower(), text.decode(_ENCODING))
+        (name.decode(_ENCODING).lower(), _decode_text(text))
         for name, text in scope['headers']
     ]
     check_declared(pairs)
@@ -86,6 +86,14 @@
     return [*request.headers, *own]
 
 
+def _decode_text(text: bytes) -> str:
+    # Sends are encoded as UTF-8, so what is UTF-8 goes on as it came.
+    try:
+        return text.decode()
+    except UnicodeDecodeError:
+        return text.decode(_ENCODING)
+
+
 def _decode_target(scope: Any) -> str:
     path = scope['raw_path'].decode(_ENCODING)
     query = scope['query_string'].decode(_ENCODING)
--- a/tests/functional/test_control_fields.py
+++ b/tests/functional/test_control_fields.py
@@ -61,6 +61,8 @@
     ('Priority', 'u=0'),
     ('Cookie', 'a=1; b=2'),
     ('my_app_field', '1'),
+    # As the bytes of UTF-8 are read one by one, here and by the server.
+    ('X-Clinic', 'Klinik Jati \xc3\xa9'),
 )
 #: Fields of one connection; the first two by what it lists.
 HOP = (('X-First', '1'), ('X-Second', '2'), ('Keep-Alive', 'timeout=9'))
--- a/tests/unit/test_caller_fields.py
+++ b/tests/unit/test_caller_fields.py
@@ -108,7 +108,7 @@
 _ordinary = strategies.lists(
     strategies.tuples(
         strategies.text(SIGNS, min_size=1).filter(is_ordinary),
-        strategies.text(PRINTABLE),
+        strategies.text(PRINTABLE) | strategies.text('äé漢', min_size=1),
     )
 )
 _listing = strategies.lists(spell()).map(', '.join)
--- a/tools/serving_mutations.py
+++ b/tools/serving_mutations.py
@@ -104,6 +104,14 @@
         'if counts[name] > 2:',
         'test_what_is_declared_twice',
     ),
+    Mutation(
+        'write each byte of a caller as a sign',
+        'requests go on unchanged and without the key',
+        f'{_INTERNAL}/platform/request_headers.py',
+        'return text.decode()',
+        'return text.decode(_ENCODING)',
+        'caller_fields.test_ordinary',
+    ),
     Mutation(
         'name no server in a send',
         'the server that is meant',
