Pass on where a stream goes on only where its route may be resumed

Cause: of the same class as the control fields: `Last-Event-Id` of a caller went on whatever the route says, and an engine runs a part of the stream then. Ruled out: doing it in platform/, which does not know the route. Change: admission forgets the field unless the route is resumable.

--- a/src/dykemast/_internal/serving/admission.py
+++ b/src/dykemast/_internal/serving/admission.py
@@ -46,7 +46,7 @@
         )
     started = time.monotonic()
     ticket = Ticket(
-        request=request,
+        request=_keep_resumption(request, route),
         route=route,
         service=table.services[_draw_share(route.shares)],
         workspace=_find_workspace(table, route, request),
@@ -84,6 +84,11 @@
     return request
 
 
+def _keep_resumption(request: CallerRequest, route: Route) -> CallerRequest:
+    """Forget where a caller would go on, unless its route allows that."""
+    return request if route.resumable else request._replace(after_event='')
+
+
 def _limit_time(request: CallerRequest, route: Route) -> float:
     if request.patience is None:
         return route.timeout
--- a/tests/functional/test_control_fields.py
+++ b/tests/functional/test_control_fields.py
@@ -193,6 +193,13 @@
     assert ask(('Last-Event-Id', '12'))['last-event-id'] == '12'
 
 
+def test_a_stream_that_may_not_be_resumed_begins_at_its_beginning() -> None:
+    # A caller could have an engine run a part of a stream whose route does not
+    # allow it: the field went on whatever the route says.
+    got = ask(('Last-Event-Id', '12'), path='/stream/once/a')
+    assert 'last-event-id' not in got
+
+
 def test_what_is_declared_twice_is_refused() -> None:
     request_id = uuid.uuid4().hex
     for again in (*DECLARED, ('x-token-usage', '1,1'), ('x-model', 'n')):
