--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -1,5 +1,6 @@
 """The pages say what the code does."""
 
+import re
 from pathlib import Path
 
 from dykemast._internal.cli.exit_codes import (
@@ -11,8 +12,15 @@
 )
 from dykemast._internal.models.requests import STATUSES
 from dykemast._internal.models.settings import DEFAULTS, RouterSettings
+from tests.lib.cases import find_cases
+from tools.mutations import MUTATIONS
 
 DOCS = Path(__file__).parents[2] / 'docs'
+README = DOCS.parent / 'README.md'
+#: A word as constants are written, of two parts at least.
+#: Environment variables of libraries, which no source of ours names.
+LIBRARY_VARIABLES = frozenset(('SHIV_ROOT',))
+CONSTANT = re.compile(r'\b[A-Z]{2,}_[A-Z_]+\b')
 
 
 def test_every_refusal_is_explained() -> None:
@@ -34,3 +42,26 @@
     page = (DOCS / 'operators.md').read_text()
     for code in (FAILED, INVALID, STALE, REFUSED, INTERRUPTED):
         assert f'\n| {code} |' in page
+
+
+def test_counts_on_the_pages_are_those_of_the_code() -> None:
+    # The README told 149 tests of 154.
+    tests = find_cases([]).countTestCases()
+    assert f'\n    {tests} passed, 0 failed, 0 skipped' in README.read_text()
+    proofs = (DOCS / 'proofs.md').read_text()
+    assert f'breaks each of {len(MUTATIONS)} ' in proofs
+
+
+def test_pages_have_no_word_in_place_of_a_figure() -> None:
+    # A page told "All 67 MUTANTS_RUN" where the outcome of a run belongs.
+    sources = ''.join(
+        path.read_text()
+        for folder in ('src', 'tools', 'tests/lib')
+        for path in (DOCS.parent / folder).rglob('*.py')
+    )
+    pages = [README, *DOCS.rglob('*.md')]
+    words = {
+        word for page in pages for word in CONSTANT.findall(page.read_text())
+    }
+    words -= LIBRARY_VARIABLES
+    assert [word for word in words if word not in sources] == []
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -41,8 +41,8 @@
         'charge an ended router with what it wrote down only',
         _OVERSPEND,
         _ROWS,
-        'limits = sum(row.limit for row in ended.values())',
-        'limits = sum(row.spent for row in ended.values())',
+        'limits = sum(row.limit for row in ended)',
+        'limits = sum(row.spent for row in ended)',
         _LEDGER,
     ),
     Mutation(
