No path of a caller reaches an engine's own calls

Cause: found beside the control fields, of the same class. Segments of dots went on as they came, so that a server that resolves them leaves the route; and a route of all paths on an engine service took the calls by which routers have engines list, keep, set aside or move memory. Ruled out: normalising the path; what a server gets would not be what the caller sent. Refusing these paths everywhere: a plain service may have `/report`. Change: dots are refused with 400, an engine's calls with 404 on routes to engines (platform/caller_paths). The check of a stop moves beside the other rules of requests in progress. Conclusion: what a caller may mean to a backend server is decided in platform/.

--- a/src/dykemast/_internal/platform/names.py
+++ b/src/dykemast/_internal/platform/names.py
@@ -48,6 +48,19 @@
         'upgrade',
     )
 )
+#: First segments of the calls by which routers steer engines.
+ENGINE_CALLS: Final = frozenset(
+    (
+        'hold-drop',
+        'hold-take',
+        'kv-events',
+        'kv-handle',
+        'kv-list',
+        'kv-move',
+        'kv-pin',
+        'report',
+    )
+)
 #: Fields that only a router says to a backend server; what a caller says
 #: there is for the router.
 OWN_FIELDS: Final = frozenset(
--- a/src/dykemast/_internal/platform/request_headers.py
+++ b/src/dykemast/_internal/platform/request_headers.py
@@ -10,6 +10,7 @@
     check_declared,
     choose_passed_on,
 )
+from dykemast._internal.platform.caller_paths import check_path
 from dykemast._internal.platform.prompt_headers import (
     decode_patience,
     decode_prompt,
@@ -45,6 +46,7 @@
         for name, text in scope['headers']
     ]
     check_declared(pairs)
+    check_path(scope['path'])
     fields = dict(pairs)
     tokens = decode_tokens(fields.get(names.TOKENS))
     return CallerRequest(
--- a/src/dykemast/_internal/serving/admission.py
+++ b/src/dykemast/_internal/serving/admission.py
@@ -11,17 +11,16 @@
     Share,
     Workspace,
 )
+from dykemast._internal.platform.caller_paths import is_engine_call
 from dykemast._internal.platform.request_headers import decode_request
 from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.in_progress import check_stop
 from dykemast._internal.serving.ticket import Ticket
 from dykemast._internal.serving.refusals import RefusalCode, RefusedError
 
 #: Seconds after which a caller may come back when no configuration is known:
 #: a router that starts reads it within a few tenths.
 CONFIGURATION_RETRY: Final = 0.5
-#: Seconds after which a caller may come back to another router when this one
-#: is stopping: by choice, about the time that a new entry answer takes.
-STOPPING_RETRY: Final = 0.05
 
 
 def admit(board: ServingBoard, scope: Any) -> Ticket:
@@ -54,23 +53,15 @@
         deadline=started + _limit_time(request, route),
         version=table.version,
     )
-    _check_stop(board, ticket)
+    _check_path(ticket)
+    check_stop(board, ticket)
     return ticket
 
 
-def _check_stop(board: ServingBoard, ticket: Ticket) -> None:
-    plan = board.stop_plan
-    if plan is None:
-        return
-    usual = board.usual_times.measure(ticket.route.name, ticket.started)
-    if plan.may_admit(ticket.started, ticket.deadline, usual):
-        return
-    details = {
-        'left_s': round(ticket.deadline - ticket.started, 3),
-        'usual_s': round(usual, 3),
-        'router_left_s': round(plan.cut_at - ticket.started, 3),
-    }
-    raise RefusedError(RefusalCode.stopping, details, STOPPING_RETRY)
+def _check_path(ticket: Ticket) -> None:
+    if ticket.service.engine and is_engine_call(ticket.request.path):
+        details = {'path': ticket.request.path, 'reason': 'a call of routers'}
+        raise RefusedError(RefusalCode.no_route, details)
 
 
 def _decode(scope: Any) -> CallerRequest:
--- a/src/dykemast/_internal/serving/in_progress.py
+++ b/src/dykemast/_internal/serving/in_progress.py
@@ -1,15 +1,43 @@
-"""Requests in progress: count them, wait for them, or cut them off."""
+"""Requests in progress: let in, counted, waited for, cut off."""
 
 import asyncio
 import contextlib
 import time
 from collections.abc import Iterator
+from typing import Final
 
 from dykemast._internal.operations.planned_stop import POLL_TIME
 from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.refusals import RefusalCode, RefusedError
 from dykemast._internal.serving.ticket import Ticket
 
 
+#: Seconds after which a caller may come back to another router when this one
+#: is stopping: by choice, about the time that a new entry answer takes.
+STOPPING_RETRY: Final = 0.05
+
+
+def check_stop(board: ServingBoard, ticket: Ticket) -> None:
+    """Check that a request will end before this router.
+
+    :param board: the blackboard.
+    :param ticket: the request.
+    :raises RefusedError: when this router is stopping and might cut it off.
+    """
+    plan = board.stop_plan
+    if plan is None:
+        return
+    usual = board.usual_times.measure(ticket.route.name, ticket.started)
+    if plan.may_admit(ticket.started, ticket.deadline, usual):
+        return
+    details = {
+        'left_s': round(ticket.deadline - ticket.started, 3),
+        'usual_s': round(usual, 3),
+        'router_left_s': round(plan.cut_at - ticket.started, 3),
+    }
+    raise RefusedError(RefusalCode.stopping, details, STOPPING_RETRY)
+
+
 @contextlib.contextmanager
 def count_running(board: ServingBoard, ticket: Ticket) -> Iterator[None]:
     """Count the current task as a request in progress.
--- a/tools/stop_mutations.py
+++ b/tools/stop_mutations.py
@@ -24,7 +24,7 @@
     Mutation(
         'do not ask how long requests of a route take',
         _CUTS_NOTHING,
-        f'{_INTERNAL}/serving/admission.py',
+        f'{_INTERNAL}/serving/in_progress.py',
         'usual = board.usual_times.measure(ticket.route.name, ticket.started)',
         'usual = 0.0',
         _OUTLASTS,
