`dykemast router`: fields of one connection and the fencing number end here

A list of what was thought of lacked `Expect`, `Proxy-Connection`, what `Connection` lists, and the fencing number. Ruled out: the chat path, which makes its own header fields. Change: these end at the router (path/orders).

--- a/src/dykemast/_internal/path/orders.py
+++ b/src/dykemast/_internal/path/orders.py
@@ -19,22 +19,27 @@
 #: Leading characters of a prompt that decide which worker has it cached.
 PREFIX_CHARACTERS: Final = 512
 _CAPS: Final = frozenset(('max_tokens', 'max_completion_tokens'))
-_HOP_BY_HOP: Final = frozenset(
+#: Fields that end here: those of one connection, those for this router, and
+#: the fencing number, which only a router may say.
+_ENDS_HERE: Final = frozenset(
     (
         'authorization',
         'connection',
         'content-length',
+        'expect',
         'host',
         'idempotency-key',
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
+        'proxy-connection',
         'te',
         'trailer',
         'transfer-encoding',
         'upgrade',
         'x-budget',
         'x-deadline',
+        'x-fencing-number',
         'x-order-key',
         'x-priority',
         'x-repeatable',
@@ -106,8 +111,9 @@
     :param headers: of the caller's request.
     :returns: the order, without its body.
     """
+    ends_here = _ENDS_HERE | _list_of_connection(headers)
     passed = {
-        name: text for name, text in headers.items() if name not in _HOP_BY_HOP
+        name: text for name, text in headers.items() if name not in ends_here
     }
     return Order(
         service=service['name'],
@@ -120,6 +126,11 @@
     )
 
 
+def _list_of_connection(headers: Headers) -> set[str]:
+    listed = ','.join(headers.getlist('connection')).lower().split(',')
+    return {name.strip() for name in listed}
+
+
 def _choose_cap(fields: dict[str, Any], model: ModelSpec) -> int:
     caps = [fields[name] for name in _CAPS if fields.get(name) is not None]
     for cap in caps:
