Let the backend server stand-in tell when requests arrived, ran and ended

Cause: the soak cannot see work that goes on for nobody, sends to a server that is leaving, nor retries: the stand-in told only which requests ran. Change: runs have the moments of their begin and end, all that arrives is listed, run or not, and paths that end in /slow work for 1.5 s, or until the caller is gone. Conclusion: what promises about time need is told.

--- a/tests/lib/backend_server.py
+++ b/tests/lib/backend_server.py
@@ -1,15 +1,19 @@
 """Stand-in of a users' backend server, by their published protocol.
 
 ``python -m tests.lib.backend_server --port N --name ID``. It streams events
-for paths under ``/stream/`` and answers at once elsewhere. ``POST /control``
+for paths under ``/stream/``, works a while on paths that end in ``/slow``,
+until its caller is gone, and answers at once elsewhere. ``POST /control``
 sets ``fault``: nothing, ``shed`` (503, not run), ``error`` (500), ``cut``
 (breaks off midway), ``part`` (ends in the middle of an event), ``mute`` (no
 answer), ``unsigned``, ``other`` (answers another request) or
 ``misdirected``; ``pause`` (seconds between events) and ``delay`` (seconds
-that a plain call takes). It returns what ran and what it got.
+that a plain call takes). It returns what ran, what it got and what arrived,
+with times of the clock that all processes of a machine share.
 """
 
 import asyncio
+import contextlib
+import time
 from typing import Any
 
 from starlette.applications import Starlette
@@ -20,6 +24,9 @@
 from tests.lib.stand_ins import make_parser, run_app
 
 EVENT_PAUSE = 0.01
+#: Seconds of work on a slow path, and between two looks at its caller.
+SLOW_TIME = 1.5
+LOOK_PAUSE = 0.05
 state: dict[str, Any] = {
     'fault': '',
     'name': '',
@@ -27,6 +34,7 @@
     'delay': 0,
 }
 runs: list[dict[str, Any]] = []
+arrivals: list[tuple[str, float]] = []
 
 
 class BreakError(Exception):
@@ -46,35 +54,67 @@
 
 async def serve(request: Request) -> Response:
     head = _make_head(request)
+    asked = request.headers.get('x-attempt-id', '')
+    arrivals.append((asked, time.monotonic()))
     expected = request.headers.get('x-expect-instance')
-    if state['fault'] == 'misdirected' or expected != state['name']:
+    fault = state['fault']
+    if fault == 'misdirected' or expected != state['name']:
         return Response('', 421, head)
-    if state['fault'] == 'shed':
+    if fault == 'shed':
         return Response('', 503, {**head, 'x-not-executed': '1'})
-    body = await request.body()
-    runs.append(
-        {
-            'id': request.headers.get('x-attempt-id'),
-            'path': str(request.url.path),
-            'query': str(request.url.query),
-            'headers': dict(request.headers),
-            'body': body.decode('latin-1'),
-            'events': 0,
-        }
-    )
+    return await _run(request, head)
+
+
+async def _run(request: Request, head: dict[str, str]) -> Response:
+    run = _note_run(request, await request.body())
     if state['fault'] == 'mute':
         await asyncio.sleep(30)
     if state['fault'] == 'error':
+        _note_end(run)
         return Response('failed', 500, head)
     if request.url.path.startswith('/stream/'):
         head['content-type'] = 'text/event-stream'
-        events = _make_events(request, runs[-1])
-        return StreamingResponse(events, 200, head)
+        return StreamingResponse(_make_events(request, run), 200, head)
     await asyncio.sleep(state['delay'])
+    if request.url.path.endswith('/slow'):
+        await _work(request)
+    _note_end(run)
     return Response('done', 200, head)
 
 
+def _note_run(request: Request, body: bytes) -> dict[str, Any]:
+    run = {
+        'id': request.headers.get('x-attempt-id'),
+        'path': str(request.url.path),
+        'query': str(request.url.query),
+        'headers': dict(request.headers),
+        'body': body.decode('latin-1'),
+        'events': 0,
+        'at': time.monotonic(),
+        'ended': 0,
+    }
+    runs.append(run)
+    return run
+
+
+async def _work(request: Request) -> None:
+    done_at = time.monotonic() + SLOW_TIME
+    while time.monotonic() < done_at and not await request.is_disconnected():
+        await asyncio.sleep(LOOK_PAUSE)
+
+
 async def _make_events(request: Request, run: dict[str, Any]) -> Any:
+    with contextlib.ExitStack() as at_end:
+        at_end.callback(_note_end, run)
+        async for event in _list_events(request, run):
+            yield event
+
+
+def _note_end(run: dict[str, Any]) -> None:
+    run['ended'] = time.monotonic()
+
+
+async def _list_events(request: Request, run: dict[str, Any]) -> Any:
     _, _, most = request.headers['x-token-usage'].partition(',')
     first = int(request.headers.get('last-event-id') or 0) + 1
     for number in range(first, int(most) + 1):
@@ -93,7 +133,7 @@
 
 async def control(request: Request) -> Response:
     state.update(await request.json())
-    return JSONResponse({'runs': runs})
+    return JSONResponse({'runs': runs, 'arrivals': arrivals})
 
 
 app = Starlette(
