Let the soak see what callers see

Change: callers keep connections, ask the entry and keep its answer for its time, three times as long or for ever, retry at once or after Retry-After on a new connection when that is safe, and some leave midway. New promises: no request that was read is lost, cut or answered by a bare 500 but for faults of its router or server; nothing goes on 0.5 s after its caller left; a leaving server gets nothing 2 s later; a quarter is served 12 s after the last fault where all routers or the store were lost, and each router takes requests; sends beyond the first stay within 0.2 and the slack in 10 s; an answer comes at the latest 2 s after its time. A stop allows the 8 s of the settings, and a router is started again once its process is gone.

--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -1,53 +1,48 @@
 """A seed gives the whole plan of a run."""
 
 import random
-from typing import NamedTuple
 
+from tests.soak.faults import Fault
 from tests.soak.proxy import MODES
+from tests.soak.series import draw_series
+from tests.soak.sizes import SMALL, Size
 
-#: Seconds in which faults begin; they come in series and overlap.
+#: Seconds in which single faults begin.
 FAULT_TIME = 7.0
-ROUTERS = 3
-ENGINES = 2
+#: Plans of lower seeds have single faults alone.
+FIRST_WITH_SERIES = 1000
 SERVERS = ('engine-0', 'engine-1', 'plain-0')
 STORE_FAULTS = ('away', 'silent', 'lose', 'deaf')
 CHANGES = ('raise', 'lower', 'routes')
 SERVER_FAULTS = ('shed', 'error', 'cut', 'mute', 'unsigned', 'other')
 
 
-class Fault(NamedTuple):
-    """One fault.
-
-    :param at: seconds from the start.
-    :param kind: name of the method that brings it about.
-    :param target: what it strikes.
-    :param how: its variant.
-    :param lasts: seconds.
-    """
-
-    at: float
-    kind: str
-    target: str
-    how: str
-    lasts: float
-
-
-def make_plan(seed: int) -> list[Fault]:
+def make_plan(seed: int, size: Size = SMALL) -> list[Fault]:
     """Make the plan of a seed, in order of time."""
     chance = random.Random(seed)
-    faults = [_draw_fault(chance) for _ in range(chance.randint(4, 9))]
+    if seed < FIRST_WITH_SERIES:
+        return sorted(_draw_faults(chance, size, chance.randint(4, 9)))
+    faults = _draw_faults(chance, size, chance.randint(0, 4))
+    for _ in range(chance.randint(1, 2)):
+        faults.extend(draw_series(chance, size))
     return sorted(faults)
 
 
-def _draw_fault(chance: random.Random) -> Fault:
-    kind, target, how = chance.choice(_list_choices(chance))
+def _draw_faults(chance: random.Random, size: Size, count: int) -> list[Fault]:
+    return [_draw_fault(chance, size) for _ in range(count)]
+
+
+def _draw_fault(chance: random.Random, size: Size) -> Fault:
+    kind, target, how = chance.choice(_list_choices(chance, size))
     at = chance.uniform(0.5, FAULT_TIME)
     lasts = chance.uniform(0.3, 3)
     return Fault(at, kind, target, how, lasts)
 
 
-def _list_choices(chance: random.Random) -> list[tuple[str, str, str]]:
-    router = f'node-{chance.randrange(ROUTERS)}'
+def _list_choices(
+    chance: random.Random, size: Size
+) -> list[tuple[str, str, str]]:
+    router = f'node-{chance.randrange(size.routers)}'
     server = chance.choice(SERVERS)
     # The order of draws makes a seed's plan: it stays.
     return [
--- /dev/null
+++ b/tests/soak/probes.py
@@ -0,0 +1,35 @@
+"""Ask the servers of a run what they saw, and whether routers serve."""
+
+from tests.lib.fixtures import wait_until
+from tests.lib.users_caller import send
+from tests.soak.seen import Arrivals, Runs
+from tests.soak.world import World
+
+
+def read_servers(world: World) -> tuple[Runs, Arrivals]:
+    """Read what ran at each server, and what arrived there."""
+    runs: Runs = {}
+    arrivals: Arrivals = {}
+    for name in set(world.deployment.backend_ports) - {'store'}:
+        told = world.deployment.control(name)
+        runs[name] = told['runs']
+        arrivals[name] = told['arrivals']
+    return runs, arrivals
+
+
+def list_takers(world: World) -> set[str]:
+    """List the routers that answer a request on a new connection."""
+    return {name for name in world.deployment.names if _ask(world, name)}
+
+
+def wait_served(world: World) -> bool:
+    """Wait until all routers serve; tell whether they did."""
+    names = world.deployment.names
+    return wait_until(lambda: {_ask(world, name) for name in names} == {200})
+
+
+def _ask(world: World, router: str) -> int:
+    try:
+        return send(world.deployment, '/price/1', router).status
+    except OSError:
+        return 0
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -2,41 +2,21 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from typing import Any, NamedTuple
 
-from tests.soak.callers import EVENTS, Seen
+from tests.soak.callers import NOT_RUN
+from tests.soak.losses import find_idle_work, find_losses
+from tests.soak.returns import find_absence, find_late_sends, find_storms
+from tests.soak.seen import WHOLE, Run, Seen, Witness
 
-#: Statuses that promise that a request has not run.
-NOT_RUN = frozenset((429, 503))
 TOKENS_PER_EVENT = 1
 #: A route that some changes remove; none brings it back.
 ORDERS = '/order/1'
 
 
-Run = dict[str, Any]
-
-
-class Witness(NamedTuple):
-    """What was seen in a run.
-
-    :param seen: by callers.
-    :param runs: by server.
-    :param prepaid: most tokens that were ever paid for.
-    :param left_at: seconds since when a server is leaving.
-    """
-
-    seen: list[Seen]
-    runs: dict[str, list[Run]]
-    prepaid: int
-    left_at: dict[str, float]
-
-
 def find_broken(witness: Witness) -> Iterator[str]:
     """Find promises that were broken."""
-    yield from _find_overspend(witness)
-    yield from _find_repeats(witness)
-    yield from _find_wrong_answers(witness)
-    yield from _find_rollbacks(witness)
+    for find in PROMISES:
+        yield from find(witness)
 
 
 def _find_overspend(witness: Witness) -> Iterator[str]:
@@ -65,13 +45,18 @@
 
 def _find_wrong_answers(witness: Witness) -> Iterator[str]:
     for one in witness.seen:
-        if one.status == 200 and one.whole and not _is_right(one):
+        if _is_served(one) and not _is_right(one):
             yield f'not the whole answer: {one.request_id}'
 
 
+def _is_served(one: Seen) -> bool:
+    return one.status == 200 and one.end == WHOLE
+
+
 def _is_right(answer: Seen) -> bool:
-    if answer.path.startswith('/stream/'):
-        return _read_ids(answer.body) == list(range(1, EVENTS + 1))
+    if answer.events:
+        expected = range(1, answer.events + 1)
+        return _read_ids(answer.body) == list(expected)
     return answer.body == b'done'
 
 
@@ -87,10 +72,12 @@
 
 def _list_removals(witness: Witness) -> dict[str, float]:
     """Tell when each router first showed that the route is gone."""
-    gone = [
-        one for one in witness.seen if one.path == ORDERS and one.status == 404
-    ]
-    return {one.router: one.at for one in sorted(gone, reverse=True)}
+    gone_at: dict[str, float] = {}
+    for one in witness.seen:
+        if one.path == ORDERS and one.status == 404:
+            known = gone_at.get(one.router, one.ended)
+            gone_at[one.router] = min(one.ended, known)
+    return gone_at
 
 
 def _read_ids(body: bytes) -> list[int]:
@@ -101,3 +88,17 @@
 def _list_runs(witness: Witness) -> Iterator[Run]:
     for runs in witness.runs.values():
         yield from runs
+
+
+#: Each finds where one promise was broken.
+PROMISES = (
+    _find_overspend,
+    _find_repeats,
+    _find_wrong_answers,
+    _find_rollbacks,
+    find_losses,
+    find_idle_work,
+    find_late_sends,
+    find_absence,
+    find_storms,
+)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 MODES = ('delay', 'reset', 'silent', 'one_way')
+#: Connections that are open say nothing any more, for good; new ones work.
+STALE = 'stale'
 CHUNK = 65536
 
 
@@ -17,12 +19,16 @@
         self.port = 0
         self.mode = ''
         self._open: set[asyncio.StreamWriter] = set()
+        self._stale: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         self.port = server.sockets[0].getsockname()[1]
 
     def switch(self, mode: str) -> None:
+        if mode == STALE:
+            self._stale |= self._open
+            return
         self.mode = mode
         if mode == 'reset':
             for writer in tuple(self._open):
@@ -47,15 +53,21 @@
         with contextlib.suppress(OSError):
             chunk = await reader.read(CHUNK)
             while chunk:
-                await self._hold_up(back=back)
+                await self._hold_up(writer, back=back)
                 writer.write(chunk)
                 await writer.drain()
                 chunk = await reader.read(CHUNK)
+            await self._hold_up(writer, back=back)
         self._open.discard(writer)
         writer.close()
 
-    async def _hold_up(self, *, back: bool) -> None:
+    async def _hold_up(self, writer: Any, *, back: bool) -> None:
         if self.mode == 'delay':
             await asyncio.sleep(random.uniform(0, 0.3))
-        while self.mode == 'silent' or (self.mode == 'one_way' and back):
+        while self._is_silent(writer, back=back):
             await asyncio.sleep(0.05)
+
+    def _is_silent(self, writer: Any, *, back: bool) -> bool:
+        if writer in self._stale:
+            return not writer.transport.is_closing()
+        return self.mode == 'silent' or (self.mode == 'one_way' and back)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,22 +1,27 @@
 """One seed: play its plan, then look at the promises."""
 
-import shutil
 import time
-from collections import Counter
-from pathlib import Path
 from typing import NamedTuple
 
-from tests.lib.fixtures import wait_until
-from tests.lib.users_caller import send
 from tests.soak.callers import Callers
-from tests.soak.plan import FAULT_TIME, make_plan
-from tests.soak.promises import Witness, find_broken
-from tests.soak.world import World
-
-#: Seconds after the last fault has begun: those that last end, and stopped
-#: routers are back.
+from tests.soak.faults import Fault
+from tests.soak.plan import FAULT_TIME, FIRST_WITH_SERIES, make_plan
+from tests.soak.probes import list_takers, read_servers, wait_served
+from tests.soak.promises import find_broken
+from tests.soak.reports import keep_logs, summarize
+from tests.soak.returns import RETURN_TIME
+from tests.soak.seen import Witness
+from tests.soak.sizes import SMALL, Size
+from tests.soak.world import PREPAID, World
+
+#: Seconds after the last fault has begun, of plans of single faults.
 SETTLE_TIME = 6.0
-LOGS = Path('dist') / 'soak'
+#: Seconds in which callers are served again, after the time for a return.
+SERVED_TIME = 3.0
+#: Faults after which service has to come back.
+LOSSES = frozenset(('kill_all', 'store'))
+#: Times the usual budget that some plans have, so that it lasts.
+PLENTY = 50
 
 
 class Outcome(NamedTuple):
@@ -26,59 +31,60 @@
     summary: str
 
 
-def run_seed(seed: int) -> Outcome:
+def run_seed(seed: int, size: Size = SMALL) -> Outcome:
     """Play a seed."""
-    world = World()
+    world = World(size, _choose_prepaid(seed))
     world.start()
-    callers = Callers(world.deployment, seed)
-    callers.start()
-    _play(world, seed)
-    callers.stop()
-    broken = _judge(world, callers)
+    plan = make_plan(seed, size)
+    witness = _watch(world, plan, Callers(world.deployment, seed, size.callers))
+    broken = list(find_broken(witness))
+    if not wait_served(world):
+        broken.append('no router serves after all faults have ended')
     if broken:
-        _keep_logs(world, seed)
+        keep_logs(world, seed, broken, plan)
     world.stop()
-    counts = Counter(one.status for one in callers.seen)
-    return Outcome(broken, str(dict(counts)))
-
-
-def _play(world: World, seed: int) -> None:
-    started = time.monotonic()
-    for fault in make_plan(seed):
-        _sleep_until(started + fault.at)
-        world.strike(fault)
-    _sleep_until(started + FAULT_TIME + SETTLE_TIME)
-
-
-def _sleep_until(moment: float) -> None:
-    time.sleep(max(0, moment - time.monotonic()))
+    return Outcome(broken, summarize(plan, witness))
 
 
-def _judge(world: World, callers: Callers) -> list[str]:
-    broken = list(find_broken(_make_witness(world, callers)))
-    if not wait_until(lambda: _serves(world)):
-        broken.append('no router serves after all faults have ended')
-    return broken
-
-
-def _make_witness(world: World, callers: Callers) -> Witness:
+def _watch(world: World, plan: list[Fault], callers: Callers) -> Witness:
+    callers.start()
+    calm_at = _play(world, plan)
+    takers = list_takers(world)
+    callers.stop()
+    runs, arrivals = read_servers(world)
     return Witness(
-        callers.seen, world.read_runs(), world.most_prepaid, world.left_at
+        callers.list_seen(),
+        runs,
+        arrivals,
+        world.most_prepaid,
+        world.left_at,
+        world.history.list_events(),
+        calm_at,
+        takers,
+        set(world.deployment.names),
+        time.monotonic(),
     )
 
 
-def _serves(world: World) -> bool:
-    replies = set()
-    for router in world.deployment.names:
-        try:
-            replies.add(send(world.deployment, '/price/1', router).status)
-        except OSError:
-            return False
-    return replies == {200}
+def _choose_prepaid(seed: int) -> int:
+    plenty = seed >= FIRST_WITH_SERIES and seed % 2
+    return PREPAID * PLENTY if plenty else PREPAID
 
 
-def _keep_logs(world: World, seed: int) -> None:
-    folder = LOGS / str(seed)
-    folder.mkdir(parents=True, exist_ok=True)
-    for log in world.deployment.processes.folder.glob('*.log'):
-        shutil.copy(log, folder)
+def _play(world: World, plan: list[Fault]) -> float:
+    """Bring all faults about; tell when the last was over, if it matters."""
+    started = time.monotonic()
+    for planned in plan:
+        _sleep_until(started + planned.at)
+        world.strike(planned)
+    _sleep_until(started + FAULT_TIME + SETTLE_TIME)
+    world.wait_calm()
+    calm_at = time.monotonic()
+    if not any(fault.kind in LOSSES for fault in plan):
+        return 0
+    _sleep_until(calm_at + RETURN_TIME + SERVED_TIME)
+    return calm_at
+
+
+def _sleep_until(moment: float) -> None:
+    time.sleep(max(0, moment - time.monotonic()))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,6 +1,5 @@
 """One run of a soak: real processes, proxies between them, and faults."""
 
-import asyncio
 import signal
 import threading
 import time
@@ -8,62 +7,63 @@
 
 from tests.lib.deployment import Deployment
 from tests.lib.users_objects import ROUTES, make_configuration, make_route
-from tests.soak.plan import ENGINES, ROUTERS, Fault
-from tests.soak.promises import Run
-from tests.soak.proxy import Proxy
+from tests.soak.faults import Fault
+from tests.soak.history import End, History
+from tests.soak.links import Links
+from tests.soak.proxy import STALE
+from tests.soak.routers import Routers
+from tests.soak.sizes import Size
+
+Fields = dict[str, Any]
 
 PREPAID = 60_000
+#: Tokens that changes raise and lower the budget by.
+CHANGE = 20_000
+#: Seconds that each call of a slow store takes longer.
+SLOW = 0.4
+#: Seconds in which a call whose answer was lost is given up and made again.
+LOST_TIME = 3.0
 
 
 class World:
     """A deployment with a proxy on each link."""
 
-    def __init__(self) -> None:
-        self.deployment = Deployment(ROUTERS, ENGINES)
-        self.most_prepaid = PREPAID
+    def __init__(self, size: Size, prepaid: int = PREPAID) -> None:
+        self.deployment = Deployment(size.routers, size.engines)
+        self.most_prepaid = prepaid
         self.left_at: dict[str, float] = {}
-        self._proxies: dict[str, Proxy] = {}
+        self.history = History()
+        self._links = Links()
         self._version = 1
-        self._prepaid = PREPAID
+        self._prepaid = prepaid
         self._routes = ROUTES
-        self._loop = asyncio.new_event_loop()
-        # Proxies that are ended with their connections open are no news.
-        self._loop.set_exception_handler(_ignore)
         self._timers: list[threading.Timer] = []
+        self._routers = Routers(self.deployment, self.history, self._later)
 
     def start(self) -> None:
-        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+        self._links.start()
         ports = self.deployment.backend_ports
-        for name, port in ports.items():
-            if name != 'store':
-                self._open_proxy(name, port)
-                self.deployment.listed_ports[name] = self._proxies[name].port
-        for name in self.deployment.names:
-            self._open_proxy(name, ports['store'])
-            self.deployment.store_ports[name] = self._proxies[name].port
-        self.deployment.start(prepaid=PREPAID)
+        for name in set(ports) - {'store'}:
+            opened = self._links.open(name, ports[name])
+            self.deployment.listed_ports[name] = opened
+        for router in self.deployment.names:
+            opened = self._links.open(router, ports['store'])
+            self.deployment.store_ports[router] = opened
+        self.deployment.start(prepaid=self._prepaid)
 
     def strike(self, fault: Fault) -> None:
         """Bring a fault about; its end comes by itself."""
         getattr(self, f'_{fault.kind}')(fault)
 
-    def stop(self) -> None:
+    def wait_calm(self) -> None:
+        """Wait until all that was begun is over."""
         for timer in self._timers:
             timer.join()
-        self.deployment.stop()
-        asyncio.run_coroutine_threadsafe(_end_tasks(), self._loop).result(5)
-        self._loop.call_soon_threadsafe(self._loop.stop)
 
-    def read_runs(self) -> dict[str, list[Run]]:
-        names = [name for name in self.deployment.backend_ports]
-        names.remove('store')
-        return {name: self.deployment.control(name)['runs'] for name in names}
-
-    def _open_proxy(self, name: str, port: int) -> None:
-        proxy = Proxy(port)
-        started = asyncio.run_coroutine_threadsafe(proxy.start(), self._loop)
-        started.result(5)
-        self._proxies[name] = proxy
+    def stop(self) -> None:
+        self.wait_calm()
+        self.deployment.stop()
+        self._links.stop()
 
     def _later(self, seconds: float, run: Any, *words: Any) -> None:
         timer = threading.Timer(seconds, run, words)
@@ -71,84 +71,87 @@
         timer.start()
 
     def _kill(self, fault: Fault) -> None:
-        self.deployment.processes.kill(fault.target)
-        self._later(fault.lasts, self._restart, fault.target)
+        self._routers.kill(fault.target, fault.lasts)
 
     def _kill_all(self, fault: Fault) -> None:
         for name in self.deployment.names:
-            self._kill(fault._replace(target=name))
+            self._routers.kill(name, fault.lasts)
 
     def _stop(self, fault: Fault) -> None:
-        process = self.deployment.processes.running[fault.target]
-        process.send_signal(signal.SIGTERM)
-        self._later(8, self._restart, fault.target)
+        self._routers.stop(fault.target)
 
     def _freeze(self, fault: Fault) -> None:
         process = self.deployment.processes.running[fault.target]
+        end = self.history.begin('freeze', fault.target)
         process.send_signal(signal.SIGSTOP)
-        self._later(fault.lasts, process.send_signal, signal.SIGCONT)
+        self._later(fault.lasts, _thaw, process, end)
 
     def _reload(self, fault: Fault) -> None:
-        process = self.deployment.processes.running[fault.target]
-        process.send_signal(signal.SIGHUP)
-
-    def _restart(self, name: str) -> None:
-        # Only one process of an instance runs at a time.
-        self.deployment.processes.kill(name)
-        self.deployment.start_router(name)
+        self._routers.reload(fault.target)
 
     def _store(self, fault: Fault) -> None:
-        if fault.how == 'lose':
-            self.deployment.control('store', lose=3, late=fault.lasts)
-            return
-        self.deployment.control('store', **{fault.how: True})
-        end = {fault.how: False, 'forget': fault.how == 'deaf'}
-        self._later(fault.lasts, self._control_store, end)
-
-    def _control_store(self, fields: dict[str, Any]) -> None:
+        end = self.history.begin('store', 'store')
+        fields, mended = _read_store_fault(fault)
         self.deployment.control('store', **fields)
+        lasts = fault.lasts if mended else fault.lasts + LOST_TIME
+        self._later(lasts, self._mend, 'store', mended, end)
+
+    def _mend(self, name: str, fields: Fields, end: End) -> None:
+        self.deployment.control(name, **fields)
+        end()
 
     def _link(self, fault: Fault) -> None:
-        proxy = self._proxies[fault.target]
-        self._loop.call_soon_threadsafe(proxy.switch, fault.how)
-        self._later(
-            fault.lasts, self._loop.call_soon_threadsafe, proxy.switch, ''
-        )
+        end = self.history.begin('link', fault.target)
+        self._links.switch(fault.target, fault.how)
+        if fault.how == STALE:
+            # What is silent stays so; what is opened from now on works.
+            end()
+        else:
+            self._later(fault.lasts, self._mend_link, fault.target, end)
+
+    def _mend_link(self, name: str, end: End) -> None:
+        self._links.switch(name, '')
+        end()
 
     def _server(self, fault: Fault) -> None:
+        end = self.history.begin('server', fault.target)
         self.deployment.control(fault.target, fault=fault.how)
-        self._later(fault.lasts, self._mend_server, fault.target)
-
-    def _mend_server(self, name: str) -> None:
-        self.deployment.control(name, fault='')
+        self._later(fault.lasts, self._mend, fault.target, {'fault': ''}, end)
 
     def _leave(self, fault: Fault) -> None:
         stored = self.deployment.read_object('servers', fault.target)
         changed = ['servers', fault.target, {**stored, 'state': 'draining'}]
         self.deployment.control('store', put=[changed])
         self.left_at.setdefault(fault.target, time.monotonic())
+        self.history.begin('leave', fault.target)()
 
     def _configure(self, fault: Fault) -> None:
         self._version += 3
         if fault.how == 'routes':
             self._routes = (*ROUTES[1:], make_route('/new/'))
         elif fault.how == 'raise':
-            self._prepaid += 20_000
+            self._prepaid += CHANGE
         else:
-            self._prepaid -= 20_000
+            self._prepaid -= CHANGE
         self.most_prepaid = max(self.most_prepaid, self._prepaid)
         spec = make_configuration(
             self._version, max(1000, self._prepaid), self._routes
         )
+        end = self.history.begin('configure', 'store')
         self.deployment.control('store', put=[['config', 'main', spec]])
+        end()
 
 
-def _ignore(*_: Any) -> None:
-    """Take no note of an error."""
+def _read_store_fault(fault: Fault) -> tuple[Fields, Fields]:
+    """Tell what to set at the store, and what when the fault is over."""
+    if fault.how == 'lose':
+        return {'lose': 3, 'late': fault.lasts}, {}
+    if fault.how == 'slow':
+        return {'latency': SLOW}, {'latency': 0}
+    mended = {fault.how: False, 'forget': fault.how == 'deaf'}
+    return {fault.how: True}, mended
 
 
-async def _end_tasks() -> None:
-    tasks = asyncio.all_tasks() - {asyncio.current_task()}
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+def _thaw(process: Any, end: End) -> None:
+    process.send_signal(signal.SIGCONT)
+    end()
