--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -14,5 +14,9 @@
 
 
 def test_seeds_that_failed_once_keep_the_promises() -> None:
-    for seed in (*read_seeds(), FIXED_SEED):
+    for seed in read_seeds():
         assert not run.run_seed(seed).broken, seed
+
+
+def test_a_fixed_seed_keeps_the_promises() -> None:
+    assert not run.run_seed(FIXED_SEED).broken
