--- /dev/null
+++ b/tests/soak/requests.py
@@ -0,0 +1,57 @@
+"""What callers ask for."""
+
+import random
+import uuid
+from typing import Any
+
+from tests.lib.users_objects import HOST, KEY
+from tests.soak.exchange import Request
+
+PROMPT = 'aa:120,bb:80'
+PROMPT_TOKENS = 200
+#: Paths, and how often they are asked for.
+PLAIN_PATHS = (
+    ('/order/1', 5),
+    ('/price/1', 5),
+    ('/new/1', 3),
+    ('/order/slow', 1),
+    ('/price/slow', 1),
+    ('/stream/', 7),
+)
+#: Events of streams, and how often they are asked for.
+STREAM_EVENTS = ((12, 6), (80, 2), (250, 1))
+STREAMS = 9
+LONG_TIME = 3.9
+#: Seconds after which callers leave who leave midway.
+LEAVE_TIMES = (0.02, 0.6)
+
+
+def draw_request(chance: random.Random, leaving: float) -> Request:
+    """Draw a request; a share of them is left midway."""
+    path = _draw(chance, PLAIN_PATHS)
+    leaves = chance.random() < leaving
+    after = chance.uniform(*LEAVE_TIMES) if leaves else 0
+    if path != '/stream/':
+        return Request(path, leaves_after=after)
+    events = _draw(chance, STREAM_EVENTS)
+    path += str(chance.randrange(STREAMS))
+    return Request(path, events, LONG_TIME, after)
+
+
+def _draw(chance: random.Random, choices: tuple[tuple[Any, int], ...]) -> Any:
+    options, weights = zip(*choices, strict=True)
+    return chance.choices(options, weights)[0]
+
+
+def make_fields(request: Request) -> dict[str, str]:
+    """Make the header fields of one try."""
+    fields = {
+        'Host': HOST,
+        'X-Attempt-Id': uuid.uuid4().hex,
+        'X-Deadline-Ms': str(round(request.time_left * 1000)),
+        'Authorization': f'Token {KEY}',
+    }
+    if request.events:
+        fields['X-Token-Usage'] = f'{PROMPT_TOKENS},{request.events}'
+        fields['X-Prefix-Hash'] = PROMPT
+    return fields
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -6,6 +6,7 @@
 from tools.mutation import Mutation
 from tools.serving_mutations import SERVING_MUTATIONS
 from tools.stop_mutations import STOP_MUTATIONS
+from tools.soak_mutations import SOAK_MUTATIONS
 
 _INTERNAL: Final = 'dykemast/_internal'
 
@@ -69,6 +70,7 @@
     *FLEET_MUTATIONS,
     *SERVING_MUTATIONS,
     *STOP_MUTATIONS,
+    *SOAK_MUTATIONS,
     Mutation(
         'grant more than is free',
         _OVERSPEND,
--- /dev/null
+++ b/tools/soak_mutations.py
@@ -0,0 +1,36 @@
+"""Rules whose break the soak sees, by its fixed seed, as callers would."""
+
+from typing import Final
+
+from tools.mutation import Mutation
+
+_SERVING: Final = 'dykemast/_internal/serving'
+_SOAK: Final = 'test_a_fixed_seed_keeps'
+
+#: Mutations of these rules.
+SOAK_MUTATIONS: Final = (
+    Mutation(
+        'serve on after the caller has left',
+        'nothing goes on for nobody',
+        f'{_SERVING}/responder.py',
+        '(serving, leaving), return_when=asyncio.FIRST_COMPLETED',
+        '(serving,)',
+        _SOAK,
+    ),
+    Mutation(
+        'send to leaving servers, beside other faults',
+        'leaving servers get nothing new',
+        f'{_SERVING}/backends.py',
+        'if server.service == service and server.name not in board.leaving',
+        'if server.service == service',
+        _SOAK,
+    ),
+    Mutation(
+        'say of a run that it did not happen, beside other faults',
+        'refused means not run',
+        f'{_SERVING}/attempts.py',
+        'if not self.may_have_run:',
+        'if self.tried:',
+        _SOAK,
+    ),
+)
