--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -34,7 +34,7 @@
 def run_seed(seed: int, size: Size = SMALL) -> Outcome:
     """Play a seed."""
     plan = make_plan(seed, size)
-    world = World(size, _choose_prepaid(seed, plan))
+    world = World(size, _choose_prepaid(seed))
     world.start()
     witness = _watch(world, plan, Callers(world.deployment, seed, size.callers))
     broken = list(find_broken(witness))
@@ -66,18 +66,11 @@
     )
 
 
-def _choose_prepaid(seed: int, plan: list[Fault]) -> int:
-    """Let the budget run out, but where service has to come back."""
-    if seed < FIRST_WITH_SERIES:
-        return PREPAID
-    plenty = seed % 2 or _is_return_due(plan)
+def _choose_prepaid(seed: int) -> int:
+    plenty = seed >= FIRST_WITH_SERIES and seed % 2
     return PREPAID * PLENTY if plenty else PREPAID
 
 
-def _is_return_due(plan: list[Fault]) -> bool:
-    return any(fault.kind in LOSSES for fault in plan)
-
-
 def _play(world: World, plan: list[Fault]) -> float:
     """Bring all faults about; tell when the last was over, if it matters."""
     started = time.monotonic()
@@ -87,7 +80,7 @@
     _sleep_until(started + FAULT_TIME + SETTLE_TIME)
     world.wait_calm()
     calm_at = time.monotonic()
-    if not _is_return_due(plan):
+    if not any(fault.kind in LOSSES for fault in plan):
         return 0
     _sleep_until(calm_at + RETURN_TIME + SERVED_TIME)
     return calm_at
