--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -9,6 +9,14 @@
 
 #: Mutations of these rules.
 SOAK_MUTATIONS: Final = (
+    Mutation(
+        'let requests in until a stopping router ends',
+        'a planned stop cuts off no request in flight',
+        'dykemast/_internal/operations/planned_stop.py',
+        'if deadline <= self.cut_at:',
+        'if deadline:',
+        'test_seeds_that_failed_once_keep',
+    ),
     Mutation(
         'serve on after the caller has left',
         'nothing goes on for nobody',
