Owe what a budget refuses until 97 in 100 of it are spent

Change: 97 in 100, as the users owe it. Conclusion: the rest of the budget is stranded by the loss; that is a finding, and the promise over all requests is too wide to fail on it.

--- a/tests/soak/returns.py
+++ b/tests/soak/returns.py
@@ -15,7 +15,7 @@
 TRUE_REFUSALS = frozenset((402, 404))
 #: Others may hold the rest of the budget, once so much of it is spent.
 HELD = 429
-SHORT_SHARE = 0.5
+SHORT_SHARE = 0.97
 #: Seconds after which a leaving server gets nothing new, and for which faults
 #: before may keep routers from hearing of it.
 LEAVE_BOUND = 2.0
--- a/tests/unit/test_soak_promises.py
+++ b/tests/unit/test_soak_promises.py
@@ -217,14 +217,16 @@
     assert not judge(*seen, left, served, calm_at=20, events=[])
 
 
-def test_refusals_by_a_budget_are_true_once_it_is_short() -> None:
+def test_refusals_by_a_budget_are_true_once_it_is_spent() -> None:
     one = make_seen(status=429, at=33, request_id='b')
-    held = [one for _ in range(4)]
-    run = make_run(headers={'x-token-usage': '600,12'})
-    served = make_seen(at=33)
-    back = {'calm_at': 20, 'events': []}
-    assert 'not back: 1 of 5' in judge(served, *held, **back)[0]
-    assert not judge(served, *held, runs={ENGINE: [run]}, **back)
+    seen = [make_seen(at=33), one, one, one, one]
+    assert 'not back: 1 of 5' in judge_return(seen, '970,12')[0]
+    assert not judge_return(seen, '971,12')
+
+
+def judge_return(seen: list[Seen], spent: str) -> list[str]:
+    run = make_run(headers={'x-token-usage': spent})
+    return judge(*seen, runs={ENGINE: [run]}, calm_at=20, events=[])
 
 
 def test_a_router_that_takes_no_request_is_seen() -> None:
