--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -5,8 +5,8 @@
 from tools.fleet_mutations import FLEET_MUTATIONS
 from tools.mutation import Mutation
 from tools.serving_mutations import SERVING_MUTATIONS
-from tools.stop_mutations import STOP_MUTATIONS
 from tools.soak_mutations import SOAK_MUTATIONS
+from tools.stop_mutations import STOP_MUTATIONS
 
 _INTERNAL: Final = 'dykemast/_internal'
 
--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -13,7 +13,7 @@
         'let requests in until a stopping router ends',
         'a planned stop cuts off no request in flight',
         'dykemast/_internal/operations/planned_stop.py',
-        'if deadline <= self.cut_at:',
+        'if deadline <= self.ends_by:',
         'if deadline:',
         'test_seeds_that_failed_once_keep',
     ),
