--- a/src/dykemast/_internal/operations/spare_size.py
+++ b/src/dykemast/_internal/operations/spare_size.py
@@ -44,14 +44,19 @@
     demand = ledger.rows[identity.incarnation].demand
     wanted = SPARE_FLOOR + SPARE_TIME * demand
     share = _measure_share(ledger, demand, routers)
+    most = min(_measure_share_of_unused(ledger), _measure_risk(ledger))
+    return int(min(wanted, share * most))
+
+
+def _measure_share_of_unused(ledger: BudgetLedger) -> float:
+    """Measure how many unused tokens all routers together may keep spare."""
     unused = ledger.count_unused()
     # Falls faster than what is unused: towards its end, what a death strands
     # is what a budget still has. On days that end with a loss of power of all
-    # worth rose by 0.07 and 0.08 (two seeds) and 0.01 to 0.03 (three), and on
+    # worth rose by 0.07 and 0.10 (two seeds) and 0.01 to 0.03 (three), and on
     # days with cuts it fell by 0.03 and 0.06 at one of two sites.
     left = unused / max(1, ledger.prepaid)
-    most = min(SPARE_SHARE * left * unused, _measure_risk(ledger))
-    return int(min(wanted, share * most))
+    return SPARE_SHARE * left * unused
 
 
 def _measure_risk(ledger: BudgetLedger) -> float:
