The soak counts what a stop gave up by its code, too

Cause: its promise knew a request that an ending router gives up by the listener's bare 500. Since the router cuts such requests itself they get a 502, which the promise passed over. Change: an answer with the code `cut_by_stop` is a loss, unless the request was long at the stop as before. A test on a made-up witness.

--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -14,6 +14,8 @@
 READ_TIME = 1.0
 #: A status that no router answers by itself, unless it gives up midway.
 NO_REFUSAL = 500
+#: What a router says of a request that it gave up when it ended.
+GIVEN_UP = b'"cut_by_stop"'
 #: Of the time that a caller gave; then a cut is no fault of the router.
 TIME_USED = 0.9
 #: Seconds after SIGTERM up to which a request may be sent, and at which it may
@@ -38,7 +40,7 @@
 
 def _was_read(one: Seen, arrived: set[str]) -> bool:
     if one.end == WHOLE:
-        return one.status == NO_REFUSAL
+        return one.status == NO_REFUSAL or GIVEN_UP in one.body
     if one.end == CLOSED:
         waited = one.ended - one.at
         return one.request_id in arrived or waited > READ_TIME
--- a/tests/unit/test_soak_promises.py
+++ b/tests/unit/test_soak_promises.py
@@ -74,6 +74,13 @@
     assert 'lost, whole' in judge(make_seen(status=500))[0]
 
 
+def test_a_request_that_an_ending_router_gave_up_is_a_loss() -> None:
+    body = b'{"error":{"code":"cut_by_stop"}}'
+    assert 'lost, whole' in judge(make_seen(status=502, body=body))[0]
+    body = b'{"error":{"code":"upstream_failed"}}'
+    assert not judge(make_seen(status=502, body=body))
+
+
 def test_faults_of_the_router_or_of_the_server_excuse_a_cut() -> None:
     for kind, target in (
         ('kill', ROUTER),
