--- a/tools/ports.py
+++ b/tools/ports.py
@@ -29,8 +29,9 @@
 def find_ports(count: int) -> list[int]:
     """Find ports that nothing listens on.
 
-    Programs listen on them only later. So no port is given twice, nor one
-    that the system gives to connections or to whoever asks for any port.
+    Programs listen on them only later. Until this process ends nobody else
+    that looks here, in this process or another, is given the same ones, nor
+    are they those that the system gives to whoever asks for any port.
 
     :param count: how many.
     :returns: different ports.
@@ -40,17 +41,25 @@
 
 def _list_free_ports() -> Iterator[int]:
     ports = random.SystemRandom().sample(PORTS, len(PORTS))
-    return filter(_is_free, ports)
+    return filter(_reserve, ports)
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket() as opened:
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            opened.bind(('127.0.0.1', port))
-        except OSError:
-            return False
+def _reserve(port: int) -> bool:
+    """Keep a port bound, not listened on, unless somebody uses it.
+
+    Who may reuse addresses can listen on it nevertheless; all programs here
+    do, and the next that reserves does not.
+    """
+    reserved = socket.socket()
+    try:
+        reserved.bind(('127.0.0.1', port))
+    except OSError:
+        reserved.close()
+        return False
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _reserved.append(reserved)
     return True
 
 
+_reserved: Final[list[socket.socket]] = []
 _free_ports: Final = _list_free_ports()
