--- a/src/dykemast/_internal/commands/instance.py
+++ b/src/dykemast/_internal/commands/instance.py
@@ -8,10 +8,13 @@
 
 from dykemast._internal.exceptions import InvalidFileError
 from dykemast._internal.platform.settings import read_settings
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.reload import follow_settings, reload_settings
-from dykemast._internal.serving.planned_stop import stop_router
-from dykemast._internal.serving.runtime import open_runtime
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.process.reload import (
+    follow_settings,
+    reload_settings,
+)
+from dykemast._internal.serving.process.planned_stop import stop_router
+from dykemast._internal.serving.process.runtime import open_runtime
 from dykemast._internal.utils.events import LineHandler, make_logger, open_log
 
 _log = make_logger('router')
--- a/src/dykemast/_internal/serving/admission.py
+++ b/src/dykemast/_internal/serving/admission/admission.py
@@ -13,10 +13,13 @@
 )
 from dykemast._internal.platform.caller_paths import is_engine_call
 from dykemast._internal.platform.request_headers import decode_request
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.in_progress import check_stop
-from dykemast._internal.serving.ticket import Ticket
-from dykemast._internal.serving.refusals import RefusalCode, RefusedError
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.admission.in_progress import check_stop
+from dykemast._internal.serving.requests.ticket import Ticket
+from dykemast._internal.serving.requests.refusals import (
+    RefusalCode,
+    RefusedError,
+)
 
 #: Seconds after which a caller may come back when no configuration is known:
 #: a router that starts reads it within a few tenths.
--- a/src/dykemast/_internal/serving/in_progress.py
+++ b/src/dykemast/_internal/serving/admission/in_progress.py
@@ -5,9 +5,12 @@
 from collections.abc import Iterator
 from typing import Final
 
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.refusals import RefusalCode, RefusedError
-from dykemast._internal.serving.ticket import Ticket
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.requests.refusals import (
+    RefusalCode,
+    RefusedError,
+)
+from dykemast._internal.serving.requests.ticket import Ticket
 from dykemast._internal.utils.waiting import POLL_TIME
 
 
--- a/src/dykemast/_internal/serving/choices.py
+++ b/src/dykemast/_internal/serving/choice/choices.py
@@ -13,10 +13,10 @@
     cost_plain,
 )
 from dykemast._internal.operations.prompt_homes import find_home
-from dykemast._internal.serving.backends import list_usable
-from dykemast._internal.serving.loads import measure_load
+from dykemast._internal.serving.knowledge.backends import list_usable
+from dykemast._internal.serving.state.loads import measure_load
 from dykemast._internal.serving.parts import Parts
-from dykemast._internal.serving.ticket import Ticket
+from dykemast._internal.serving.requests.ticket import Ticket
 
 
 def choose_server(
--- a/src/dykemast/_internal/serving/backends.py
+++ b/src/dykemast/_internal/serving/knowledge/backends.py
@@ -9,8 +9,8 @@
 from dykemast._internal.models.news import ListState
 from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.platform.servers import SERVER_KIND, decode_server
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.follower import Follower
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.knowledge.follower import Follower
 from dykemast._internal.utils.digests import digest_texts
 from dykemast._internal.utils.events import make_logger
 
--- a/src/dykemast/_internal/serving/configuration.py
+++ b/src/dykemast/_internal/serving/knowledge/configuration.py
@@ -9,8 +9,8 @@
     decode_configuration,
 )
 from dykemast._internal.platform.store_types import StoreObject
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.follower import Follower
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.knowledge.follower import Follower
 from dykemast._internal.utils.events import make_logger
 from dykemast._internal.utils.packing import pack, unpack
 
--- a/src/dykemast/_internal/serving/followers.py
+++ b/src/dykemast/_internal/serving/knowledge/followers.py
@@ -12,13 +12,16 @@
 from dykemast._internal.exceptions import HistoryLostError, PlatformError
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.operations.rendezvous import rank_keepers
-from dykemast._internal.serving.board import ServingBoard, list_heard
-from dykemast._internal.serving.follower import (
+from dykemast._internal.serving.state.board import ServingBoard, list_heard
+from dykemast._internal.serving.knowledge.follower import (
     Follower,
     take_changes,
     take_listing,
 )
-from dykemast._internal.serving.store_state import note_lost, note_regained
+from dykemast._internal.serving.knowledge.store_state import (
+    note_lost,
+    note_regained,
+)
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('store')
--- a/src/dykemast/_internal/serving/freshness.py
+++ b/src/dykemast/_internal/serving/knowledge/freshness.py
@@ -11,9 +11,12 @@
 
 from dykemast._internal.exceptions import PlatformError
 from dykemast._internal.platform.objects import ObjectStore
-from dykemast._internal.serving.board import ServingBoard, list_heard
-from dykemast._internal.serving.follower import Follower, take_listing
-from dykemast._internal.serving.store_state import note_lost, note_regained
+from dykemast._internal.serving.state.board import ServingBoard, list_heard
+from dykemast._internal.serving.knowledge.follower import Follower, take_listing
+from dykemast._internal.serving.knowledge.store_state import (
+    note_lost,
+    note_regained,
+)
 
 #: Seconds between two looks.
 _PAUSE: Final = 0.1
--- a/src/dykemast/_internal/serving/server_lists.py
+++ b/src/dykemast/_internal/serving/knowledge/server_lists.py
@@ -3,9 +3,9 @@
 from dykemast._internal.exceptions import NotUsableError
 from dykemast._internal.models.news import ListState
 from dykemast._internal.platform.store_types import Listing
-from dykemast._internal.serving.backends import make_follower
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.follower import take_listing
+from dykemast._internal.serving.knowledge.backends import make_follower
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.knowledge.follower import take_listing
 from dykemast._internal.utils.events import make_logger
 from dykemast._internal.utils.packing import pack, unpack
 
--- a/src/dykemast/_internal/serving/store_state.py
+++ b/src/dykemast/_internal/serving/knowledge/store_state.py
@@ -3,7 +3,7 @@
 import time
 
 from dykemast._internal.exceptions import PlatformError
-from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('store')
--- a/src/dykemast/_internal/serving/entry_ttl.py
+++ b/src/dykemast/_internal/serving/members/entry_ttl.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.state.board import ServingBoard
 
 #: Seconds for which callers may keep an entry answer: long enough that they
 #: ask seldom, short enough that a stopped router is left in time.
--- a/src/dykemast/_internal/serving/gossip.py
+++ b/src/dykemast/_internal/serving/members/gossip.py
@@ -8,13 +8,17 @@
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.network.peer_client import PeerClient
 from dykemast._internal.network.peer_codec import load_idl
-from dykemast._internal.serving.board import Peer, ServingBoard, note_silent
-from dykemast._internal.serving.gossip_partners import (
+from dykemast._internal.serving.state.board import (
+    Peer,
+    ServingBoard,
+    note_silent,
+)
+from dykemast._internal.serving.members.gossip_partners import (
     choose_partners,
     draw_pause,
 )
-from dykemast._internal.serving.peer_fetches import catch_up
-from dykemast._internal.serving.peer_news import NewsDesk
+from dykemast._internal.serving.members.peer_fetches import catch_up
+from dykemast._internal.serving.members.peer_news import PeerNews
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('gossip')
@@ -29,13 +33,13 @@
     """Exchange of news between routers.
 
     :param board: the blackboard.
-    :param desk: writes and takes news.
+    :param peer_news: writes and takes news.
     """
 
-    def __init__(self, board: ServingBoard, desk: NewsDesk) -> None:
+    def __init__(self, board: ServingBoard, peer_news: PeerNews) -> None:
         """Know nobody yet."""
         self._board = board
-        self._desk = desk
+        self._peer_news = peer_news
         self._client = PeerClient(None, fleet_idl.Fleet)
 
     async def call(
@@ -68,12 +72,12 @@
         peer.met_at = time.monotonic()
         try:
             body = await self.call(
-                peer.card, 'exchange', self._desk.write_news()
+                peer.card, 'exchange', self._peer_news.write_news()
             )
         except PeerError as error:
             _note_lost(self._board, peer, error)
             return
-        news = self._desk.take_news(body)
+        news = self._peer_news.take_news(body)
         if news:
             await catch_up(self.call, self._board, news)
 
--- a/src/dykemast/_internal/serving/gossip_partners.py
+++ b/src/dykemast/_internal/serving/members/gossip_partners.py
@@ -4,8 +4,8 @@
 import time
 from typing import Final
 
-from dykemast._internal.serving.board import Peer, ServingBoard, is_silent
-from dykemast._internal.serving.fleet_size import is_large
+from dykemast._internal.serving.state.board import Peer, ServingBoard, is_silent
+from dykemast._internal.serving.state.fleet_size import is_large
 
 #: Seconds between two rounds of news, and how far a round may be off.
 ROUND_PAUSE: Final = 0.2
--- a/src/dykemast/_internal/serving/members.py
+++ b/src/dykemast/_internal/serving/members/members.py
@@ -13,7 +13,7 @@
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.platform.store_types import StoreObject
-from dykemast._internal.serving.board import Peer, ServingBoard
+from dykemast._internal.serving.state.board import Peer, ServingBoard
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('members')
--- a/src/dykemast/_internal/serving/peer_calls.py
+++ b/src/dykemast/_internal/serving/members/peer_calls.py
@@ -4,10 +4,10 @@
 from typing import Any, NamedTuple
 
 from dykemast._internal.network.peer_server import listen
-from dykemast._internal.serving import server_lists
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.gossip import fleet_idl
-from dykemast._internal.serving.peer_news import NewsDesk
+from dykemast._internal.serving.knowledge import server_lists
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.members.gossip import fleet_idl
+from dykemast._internal.serving.members.peer_news import PeerNews
 
 Lend = Callable[[str, int, str], Awaitable[int]]
 
@@ -23,20 +23,20 @@
 
 async def open_peer_server(
     board: ServingBoard,
-    desk: NewsDesk,
+    peer_news: PeerNews,
     lend: Lend,
 ) -> Any:
     """Listen for other routers.
 
     :param board: the blackboard.
-    :param desk: writes and takes news.
+    :param peer_news: writes and takes news.
     :param lend: gives spare tokens away.
     :returns: the listening server, to be closed by its ``close``.
     """
 
     async def exchange(body: bytes) -> bytes:
-        desk.take_news(body)
-        return desk.write_news()
+        peer_news.take_news(body)
+        return peer_news.write_news()
 
     async def newer_configuration(above: int) -> bytes:
         return board.table_raw if board.count_version() > above else b''
--- a/src/dykemast/_internal/serving/peer_fetches.py
+++ b/src/dykemast/_internal/serving/members/peer_fetches.py
@@ -6,9 +6,9 @@
 from dykemast._internal.exceptions import PeerError
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.models.news import News
-from dykemast._internal.serving import configuration, server_lists
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.peer_news import note_ages
+from dykemast._internal.serving.knowledge import configuration, server_lists
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.members.peer_news import note_ages
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('gossip')
--- a/src/dykemast/_internal/serving/peer_links.py
+++ b/src/dykemast/_internal/serving/members/peer_links.py
@@ -2,20 +2,20 @@
 
 from typing import NamedTuple
 
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.gossip import Gossip
-from dykemast._internal.serving.loads import Loads
-from dykemast._internal.serving.peer_news import NewsDesk
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.members.gossip import Gossip
+from dykemast._internal.serving.state.loads import Loads
+from dykemast._internal.serving.members.peer_news import PeerNews
 
 
 class PeerLinks(NamedTuple):
     """Parts that connect a router with others.
 
-    :param desk: news of this router.
+    :param peer_news: news of this router.
     :param gossip: calls to other routers.
     """
 
-    desk: NewsDesk
+    peer_news: PeerNews
     gossip: Gossip
 
 
@@ -26,5 +26,5 @@
     :param loads: requests at backend servers.
     :returns: the parts.
     """
-    desk = NewsDesk(board, loads)
-    return PeerLinks(desk, Gossip(board, desk))
+    peer_news = PeerNews(board, loads)
+    return PeerLinks(peer_news, Gossip(board, peer_news))
--- a/src/dykemast/_internal/serving/peer_news.py
+++ b/src/dykemast/_internal/serving/members/peer_news.py
@@ -7,17 +7,18 @@
 from dykemast._internal.models.news import News, RelayedLoads
 from dykemast._internal.platform.configuration import CONFIGURATION_KIND
 from dykemast._internal.platform.servers import SERVER_KIND
-from dykemast._internal.serving import backends, freshness, members
-from dykemast._internal.serving.board import ServingBoard, is_silent
-from dykemast._internal.serving.fleet_size import is_large
-from dykemast._internal.serving.loads import Loads
-from dykemast._internal.serving.strain import measure_strain
+from dykemast._internal.serving.knowledge import backends, freshness
+from dykemast._internal.serving.members import members
+from dykemast._internal.serving.state.board import ServingBoard, is_silent
+from dykemast._internal.serving.state.fleet_size import is_large
+from dykemast._internal.serving.state.loads import Loads
+from dykemast._internal.serving.members.strain import measure_strain
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('gossip')
 
 
-class NewsDesk:
+class PeerNews:
     """Writes this router's news and takes those of others.
 
     :param board: the blackboard.
--- a/src/dykemast/_internal/serving/strain.py
+++ b/src/dykemast/_internal/serving/members/strain.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from dykemast._internal.models.news import Strain
-from dykemast._internal.serving.board import ServingBoard, list_heard
+from dykemast._internal.serving.state.board import ServingBoard, list_heard
 
 #: Seconds of a common core that a request takes, its events included: two
 #: measured days (303.9 s for 5,220 router seconds and 11,746 requests; 31.0 s
--- a/src/dykemast/_internal/serving/parts.py
+++ b/src/dykemast/_internal/serving/parts.py
@@ -4,11 +4,11 @@
 
 from dykemast._internal.operations.retry_allowance import RetryAllowance
 from dykemast._internal.operations.server_trust import ServerTrust
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.budgets import Budgets
-from dykemast._internal.serving.loads import Loads
-from dykemast._internal.serving.meters import Meters, make_meters
-from dykemast._internal.serving.upstream import Upstreams
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.tokens.budgets import Budgets
+from dykemast._internal.serving.state.loads import Loads
+from dykemast._internal.serving.state.meters import Meters, make_meters
+from dykemast._internal.serving.sending.upstream import Upstreams
 
 
 class Parts(NamedTuple):
--- a/src/dykemast/_internal/serving/application.py
+++ b/src/dykemast/_internal/serving/process/application.py
@@ -6,13 +6,17 @@
 from typing import Any, Final
 
 from dykemast._internal.platform.request_headers import find_request_id
-from dykemast._internal.serving.admission import admit
-from dykemast._internal.serving.in_progress import count_running
-from dykemast._internal.serving import dispatch, exchange, records
+from dykemast._internal.serving.admission.admission import admit
+from dykemast._internal.serving.admission.in_progress import count_running
+from dykemast._internal.serving.process import records
+from dykemast._internal.serving.relay import dispatch, exchange
 from dykemast._internal.serving.parts import Parts
-from dykemast._internal.serving.strain import sheds_callers
-from dykemast._internal.serving.refusals import RefusalCode, RefusedError
-from dykemast._internal.serving.responder import (
+from dykemast._internal.serving.members.strain import sheds_callers
+from dykemast._internal.serving.requests.refusals import (
+    RefusalCode,
+    RefusedError,
+)
+from dykemast._internal.serving.requests.responder import (
     Receive,
     Responder,
     Send,
--- a/src/dykemast/_internal/serving/assembly.py
+++ b/src/dykemast/_internal/serving/process/assembly.py
@@ -5,13 +5,13 @@
 from dykemast._internal.network.platform_session import PlatformSession
 from dykemast._internal.operations.allowance_terms import Identity
 from dykemast._internal.platform.objects import ObjectStore
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.budgets import Budgets
-from dykemast._internal.serving.loads import make_loads
-from dykemast._internal.serving.old_rows import Upkeep
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.tokens.budgets import Budgets
+from dykemast._internal.serving.state.loads import make_loads
+from dykemast._internal.serving.tokens.old_rows import Upkeep
 from dykemast._internal.serving.parts import Parts, make_parts
-from dykemast._internal.serving.peer_links import PeerLinks, link_peers
-from dykemast._internal.serving.budget_parts import open_sources
+from dykemast._internal.serving.members.peer_links import PeerLinks, link_peers
+from dykemast._internal.serving.tokens.budget_parts import open_sources
 
 
 class Assembly(NamedTuple):
--- a/src/dykemast/_internal/serving/entry.py
+++ b/src/dykemast/_internal/serving/process/entry.py
@@ -13,12 +13,20 @@
     decode_entry_name,
     encode_entry,
 )
-from dykemast._internal.serving.board import Peer, ServingBoard, list_heard
-from dykemast._internal.serving.entry_ttl import measure_entry_ttl
-from dykemast._internal.serving.meters import render_meters
+from dykemast._internal.serving.state.board import (
+    Peer,
+    ServingBoard,
+    list_heard,
+)
+from dykemast._internal.serving.members.entry_ttl import measure_entry_ttl
+from dykemast._internal.serving.state.meters import render_meters
 from dykemast._internal.serving.parts import Parts
-from dykemast._internal.serving.responder import Receive, Responder, Send
-from dykemast._internal.serving.strain import measure_strain
+from dykemast._internal.serving.requests.responder import (
+    Receive,
+    Responder,
+    Send,
+)
+from dykemast._internal.serving.members.strain import measure_strain
 
 #: Addresses in one answer at most.
 MAX_ADDRESSES: Final = 64
--- a/src/dykemast/_internal/serving/loops.py
+++ b/src/dykemast/_internal/serving/process/loops.py
@@ -6,18 +6,14 @@
 from typing import Any, Final
 
 from dykemast._internal.operations.loop_watch import WATCH_PAUSE
-from dykemast._internal.serving import (
-    backends,
-    budget_upkeep,
-    configuration,
-    gossip,
-    members,
-)
-from dykemast._internal.serving.assembly import Assembly
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.entry import describe_state
-from dykemast._internal.serving.followers import follow_kind
-from dykemast._internal.serving.freshness import Checked, keep_fresh
+from dykemast._internal.serving.knowledge import backends, configuration
+from dykemast._internal.serving.members import gossip, members
+from dykemast._internal.serving.tokens import budget_upkeep
+from dykemast._internal.serving.process.assembly import Assembly
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.process.entry import describe_state
+from dykemast._internal.serving.knowledge.followers import follow_kind
+from dykemast._internal.serving.knowledge.freshness import Checked, keep_fresh
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('router')
--- a/src/dykemast/_internal/serving/planned_stop.py
+++ b/src/dykemast/_internal/serving/process/planned_stop.py
@@ -11,16 +11,13 @@
     StopPlan,
     plan_stop,
 )
-from dykemast._internal.serving import (
-    budget_upkeep,
-    gossip,
-    in_progress,
-    members,
-)
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.entry_ttl import measure_entry_ttl
-from dykemast._internal.serving.ledger_writer import AWAY_PAUSE
-from dykemast._internal.serving.runtime import Runtime
+from dykemast._internal.serving.admission import in_progress
+from dykemast._internal.serving.members import gossip, members
+from dykemast._internal.serving.tokens import budget_upkeep
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.members.entry_ttl import measure_entry_ttl
+from dykemast._internal.serving.tokens.ledger_writer import AWAY_PAUSE
+from dykemast._internal.serving.process.runtime import Runtime
 from dykemast._internal.utils.events import make_logger
 from dykemast._internal.utils.waiting import wait_until
 
--- a/src/dykemast/_internal/serving/records.py
+++ b/src/dykemast/_internal/serving/process/records.py
@@ -4,8 +4,8 @@
 from typing import Final, NamedTuple
 
 from dykemast._internal.serving.parts import Parts
-from dykemast._internal.serving.ticket import Ticket
-from dykemast._internal.serving.refusals import RefusedError
+from dykemast._internal.serving.requests.ticket import Ticket
+from dykemast._internal.serving.requests.refusals import RefusedError
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('request')
--- a/src/dykemast/_internal/serving/reload.py
+++ b/src/dykemast/_internal/serving/process/reload.py
@@ -5,7 +5,7 @@
 
 from dykemast._internal.exceptions import InvalidFileError
 from dykemast._internal.platform.settings import read_change_time, read_settings
-from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('settings')
--- a/src/dykemast/_internal/serving/runtime.py
+++ b/src/dykemast/_internal/serving/process/runtime.py
@@ -6,14 +6,10 @@
 
 from dykemast._internal.models.deployment import Endpoint
 from dykemast._internal.network.listeners import Listener, open_on_sockets
-from dykemast._internal.serving import (
-    application,
-    entry,
-    loops,
-    peer_calls,
-)
-from dykemast._internal.serving.assembly import Assembly, assemble
-from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.members import peer_calls
+from dykemast._internal.serving.process import application, entry, loops
+from dykemast._internal.serving.process.assembly import Assembly, assemble
+from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.parts import Parts
 
 #: Connections that wait to be accepted.
@@ -45,7 +41,7 @@
     assembly = assemble(board)
     parts = assembly.parts
     peer_server = await peer_calls.open_peer_server(
-        board, assembly.links.desk, parts.budgets.lend
+        board, assembly.links.peer_news, parts.budgets.lend
     )
     tasks = [asyncio.create_task(loop) for loop in loops.list_loops(assembly)]
     listeners = await _open_listeners(parts)
--- a/src/dykemast/_internal/serving/attempts.py
+++ b/src/dykemast/_internal/serving/relay/attempts.py
@@ -6,16 +6,19 @@
 
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.models.backend import BackendServer
-from dykemast._internal.serving.choices import choose_server
-from dykemast._internal.serving.loads import measure_load
-from dykemast._internal.serving.outcomes import (
+from dykemast._internal.serving.choice.choices import choose_server
+from dykemast._internal.serving.state.loads import measure_load
+from dykemast._internal.serving.choice.outcomes import (
     note_absent,
     note_outcome,
     open_allowance,
 )
 from dykemast._internal.serving.parts import Parts
-from dykemast._internal.serving.ticket import Ticket
-from dykemast._internal.serving.refusals import RefusalCode, RefusedError
+from dykemast._internal.serving.requests.ticket import Ticket
+from dykemast._internal.serving.requests.refusals import (
+    RefusalCode,
+    RefusedError,
+)
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('route')
--- a/src/dykemast/_internal/serving/dispatch.py
+++ b/src/dykemast/_internal/serving/relay/dispatch.py
@@ -1,8 +1,8 @@
 """Serve a request that was let in, by the kind of its route."""
 
 from dykemast._internal.models.routing_table import RouteKind
-from dykemast._internal.serving import plain_calls, stream_requests
-from dykemast._internal.serving.exchange import Exchange
+from dykemast._internal.serving.relay import plain_calls, stream_requests
+from dykemast._internal.serving.relay.exchange import Exchange
 
 
 async def serve(exchange: Exchange) -> None:
--- a/src/dykemast/_internal/serving/event_relay.py
+++ b/src/dykemast/_internal/serving/relay/event_relay.py
@@ -4,8 +4,11 @@
 
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.models.forwarding import AnswerHead
-from dykemast._internal.serving.event_parser import EventParser, read_event_id
-from dykemast._internal.serving.responder import Responder
+from dykemast._internal.serving.relay.event_parser import (
+    EventParser,
+    read_event_id,
+)
+from dykemast._internal.serving.requests.responder import Responder
 
 
 class EventRelay:
--- a/src/dykemast/_internal/serving/event_streams.py
+++ b/src/dykemast/_internal/serving/relay/event_streams.py
@@ -5,14 +5,14 @@
 
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.models.backend import BackendServer
-from dykemast._internal.serving.attempts import Attempts
-from dykemast._internal.serving.choices import count_missing
-from dykemast._internal.serving.event_relay import EventRelay
-from dykemast._internal.serving.exchange import Exchange
+from dykemast._internal.serving.relay.attempts import Attempts
+from dykemast._internal.serving.choice.choices import count_missing
+from dykemast._internal.serving.relay.event_relay import EventRelay
+from dykemast._internal.serving.relay.exchange import Exchange
 from dykemast._internal.serving.parts import Parts
-from dykemast._internal.serving.ticket import Ticket
-from dykemast._internal.serving.sending import make_sending
-from dykemast._internal.serving.upstream_answer import Answer
+from dykemast._internal.serving.requests.ticket import Ticket
+from dykemast._internal.serving.sending.sending import make_sending
+from dykemast._internal.serving.sending.upstream_answer import Answer
 
 #: Events that an engine may have made and not delivered when its stream
 #: breaks; they are charged.
--- a/src/dykemast/_internal/serving/exchange.py
+++ b/src/dykemast/_internal/serving/relay/exchange.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 from dykemast._internal.serving.parts import Parts
-from dykemast._internal.serving.responder import Responder
-from dykemast._internal.serving.ticket import Ticket
+from dykemast._internal.serving.requests.responder import Responder
+from dykemast._internal.serving.requests.ticket import Ticket
 
 
 class Exchange(NamedTuple):
--- a/src/dykemast/_internal/serving/plain_calls.py
+++ b/src/dykemast/_internal/serving/relay/plain_calls.py
@@ -6,9 +6,9 @@
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.models.forwarding import AnswerHead
-from dykemast._internal.serving.attempts import Attempts
-from dykemast._internal.serving.exchange import Exchange
-from dykemast._internal.serving.sending import make_sending
+from dykemast._internal.serving.relay.attempts import Attempts
+from dykemast._internal.serving.relay.exchange import Exchange
+from dykemast._internal.serving.sending.sending import make_sending
 
 #: Statuses from which a repeatable request may do better elsewhere.
 FIRST_SERVER_ERROR: Final = 500
--- a/src/dykemast/_internal/serving/stream_requests.py
+++ b/src/dykemast/_internal/serving/relay/stream_requests.py
@@ -2,11 +2,11 @@
 
 import contextlib
 
-from dykemast._internal.serving.holds import Hold
-from dykemast._internal.serving.event_streams import EventStream
-from dykemast._internal.serving.exchange import Exchange
+from dykemast._internal.serving.tokens.holds import Hold
+from dykemast._internal.serving.relay.event_streams import EventStream
+from dykemast._internal.serving.relay.exchange import Exchange
 from dykemast._internal.serving.parts import Parts
-from dykemast._internal.serving.ticket import Ticket
+from dykemast._internal.serving.requests.ticket import Ticket
 
 
 async def serve_stream(exchange: Exchange) -> None:
--- a/src/dykemast/_internal/serving/responder.py
+++ b/src/dykemast/_internal/serving/requests/responder.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 from dykemast._internal.exceptions import DykemastError
-from dykemast._internal.serving.refusals import (
+from dykemast._internal.serving.requests.refusals import (
     Headers,
     RefusalCode,
     RefusedError,
--- a/src/dykemast/_internal/serving/sending.py
+++ b/src/dykemast/_internal/serving/sending/sending.py
@@ -7,7 +7,7 @@
 from dykemast._internal.models.caller_request import CallerRequest
 from dykemast._internal.models.forwarding import Forwarding
 from dykemast._internal.operations.priorities import choose_priority
-from dykemast._internal.serving.ticket import Ticket
+from dykemast._internal.serving.requests.ticket import Ticket
 
 
 class Sending(NamedTuple):
--- a/src/dykemast/_internal/serving/upstream.py
+++ b/src/dykemast/_internal/serving/sending/upstream.py
@@ -10,9 +10,12 @@
 
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.platform.request_headers import encode_forwarding
-from dykemast._internal.serving.sending import Sending
-from dykemast._internal.serving.upstream_session import make_url, open_session
-from dykemast._internal.serving.upstream_answer import (
+from dykemast._internal.serving.sending.sending import Sending
+from dykemast._internal.serving.sending.upstream_session import (
+    make_url,
+    open_session,
+)
+from dykemast._internal.serving.sending.upstream_answer import (
     FAILURES,
     Answer,
     check_head,
--- a/src/dykemast/_internal/serving/fleet_size.py
+++ b/src/dykemast/_internal/serving/state/fleet_size.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.state.board import ServingBoard
 
 #: Routers from which on a fleet is large: beyond some twenty, writes of one
 #: budget by all of them would mostly meet each other, and each exchange of
--- a/src/dykemast/_internal/serving/accounts.py
+++ b/src/dykemast/_internal/serving/tokens/accounts.py
@@ -18,7 +18,7 @@
 )
 from dykemast._internal.operations.demand import Demand
 from dykemast._internal.platform.store_types import StoreObject
-from dykemast._internal.serving.holds import NEVER, Shortage
+from dykemast._internal.serving.tokens.holds import NEVER, Shortage
 
 #: Kind of the objects that hold the budgets.
 BUDGET_KIND: Final = 'dykemast-budgets'
--- a/src/dykemast/_internal/serving/budget_keepers.py
+++ b/src/dykemast/_internal/serving/tokens/budget_keepers.py
@@ -8,8 +8,8 @@
 
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.operations.rendezvous import choose_keeper
-from dykemast._internal.serving.board import ServingBoard, list_heard
-from dykemast._internal.serving.fleet_size import is_large
+from dykemast._internal.serving.state.board import ServingBoard, list_heard
+from dykemast._internal.serving.state.fleet_size import is_large
 
 
 def keeps(board: ServingBoard, workspace: str) -> bool:
--- a/src/dykemast/_internal/serving/budget_parts.py
+++ b/src/dykemast/_internal/serving/tokens/budget_parts.py
@@ -3,11 +3,11 @@
 from typing import NamedTuple
 
 from dykemast._internal.platform.objects import ObjectStore
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.gossip import Gossip
-from dykemast._internal.serving.ledger_writer import LedgerWriter
-from dykemast._internal.serving.token_search import TokenSearch
-from dykemast._internal.serving.token_source import TokenSource
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.members.gossip import Gossip
+from dykemast._internal.serving.tokens.ledger_writer import LedgerWriter
+from dykemast._internal.serving.tokens.token_search import TokenSearch
+from dykemast._internal.serving.tokens.token_source import TokenSource
 
 
 class Sources(NamedTuple):
--- a/src/dykemast/_internal/serving/budget_upkeep.py
+++ b/src/dykemast/_internal/serving/tokens/budget_upkeep.py
@@ -4,10 +4,10 @@
 import time
 from typing import Final
 
-from dykemast._internal.serving.accounts import Account
-from dykemast._internal.serving.holds import Shortage
-from dykemast._internal.serving.budget_keepers import keeps
-from dykemast._internal.serving.old_rows import Upkeep, close_old_rows
+from dykemast._internal.serving.tokens.accounts import Account
+from dykemast._internal.serving.tokens.holds import Shortage
+from dykemast._internal.serving.tokens.budget_keepers import keeps
+from dykemast._internal.serving.tokens.old_rows import Upkeep, close_old_rows
 
 #: Seconds between two looks at the rows.
 REVIEW_PAUSE: Final = 0.5
--- a/src/dykemast/_internal/serving/budgets.py
+++ b/src/dykemast/_internal/serving/tokens/budgets.py
@@ -5,12 +5,12 @@
 
 from dykemast._internal.models.routing_table import Workspace
 from dykemast._internal.operations.allowance_terms import Identity
-from dykemast._internal.serving.accounts import Account, note_lent
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.budget_keepers import keeps
-from dykemast._internal.serving.fleet_size import is_large
-from dykemast._internal.serving.holds import Hold
-from dykemast._internal.serving.token_search import TokenSearch
+from dykemast._internal.serving.tokens.accounts import Account, note_lent
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.tokens.budget_keepers import keeps
+from dykemast._internal.serving.state.fleet_size import is_large
+from dykemast._internal.serving.tokens.holds import Hold
+from dykemast._internal.serving.tokens.token_search import TokenSearch
 
 
 #: Tokens that the least urgent requests leave for others: an urgent one. A
--- a/src/dykemast/_internal/serving/ledger_writer.py
+++ b/src/dykemast/_internal/serving/tokens/ledger_writer.py
@@ -6,8 +6,8 @@
 from dykemast._internal.exceptions import PlatformError, VersionConflictError
 from dykemast._internal.operations.allowance_terms import Terms
 from dykemast._internal.platform.objects import ObjectStore
-from dykemast._internal.serving.accounts import BUDGET_KIND, Account
-from dykemast._internal.serving.board import ServingBoard
+from dykemast._internal.serving.tokens.accounts import BUDGET_KIND, Account
+from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('budgets')
--- a/src/dykemast/_internal/serving/loans.py
+++ b/src/dykemast/_internal/serving/tokens/loans.py
@@ -7,8 +7,8 @@
 
 from dykemast._internal.exceptions import PeerError
 from dykemast._internal.models.fleet import PeerCard
-from dykemast._internal.serving.accounts import Account, note_lent
-from dykemast._internal.serving.gossip import Gossip
+from dykemast._internal.serving.tokens.accounts import Account, note_lent
+from dykemast._internal.serving.members.gossip import Gossip
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('loans')
--- a/src/dykemast/_internal/serving/old_rows.py
+++ b/src/dykemast/_internal/serving/tokens/old_rows.py
@@ -4,11 +4,11 @@
 
 from dykemast._internal.exceptions import PlatformError
 from dykemast._internal.platform.objects import ObjectStore
-from dykemast._internal.serving.accounts import BUDGET_KIND
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.budgets import Budgets
-from dykemast._internal.serving.ledger_writer import LedgerWriter
-from dykemast._internal.serving.token_search import TokenSearch
+from dykemast._internal.serving.tokens.accounts import BUDGET_KIND
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.tokens.budgets import Budgets
+from dykemast._internal.serving.tokens.ledger_writer import LedgerWriter
+from dykemast._internal.serving.tokens.token_search import TokenSearch
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('budgets')
--- a/src/dykemast/_internal/serving/token_search.py
+++ b/src/dykemast/_internal/serving/tokens/token_search.py
@@ -6,11 +6,17 @@
 from collections.abc import Coroutine, Iterator
 from typing import Any, Final
 
-from dykemast._internal.serving.accounts import Account
-from dykemast._internal.serving.holds import Shortage
-from dykemast._internal.serving.ledger_writer import LedgerWriter, describe
-from dykemast._internal.serving.refusals import RefusalCode, RefusedError
-from dykemast._internal.serving.token_source import TokenSource
+from dykemast._internal.serving.tokens.accounts import Account
+from dykemast._internal.serving.tokens.holds import Shortage
+from dykemast._internal.serving.tokens.ledger_writer import (
+    LedgerWriter,
+    describe,
+)
+from dykemast._internal.serving.requests.refusals import (
+    RefusalCode,
+    RefusedError,
+)
+from dykemast._internal.serving.tokens.token_source import TokenSource
 
 #: Seconds that a request waits for tokens. On a day with a slow store and
 #: routers cut off, 1,257 of 1,275 holds were had within 0.1 s, most in one
--- a/src/dykemast/_internal/serving/token_source.py
+++ b/src/dykemast/_internal/serving/tokens/token_source.py
@@ -3,13 +3,13 @@
 import time
 
 from dykemast._internal.operations.spare_size import SPARE_TIME
-from dykemast._internal.serving.accounts import Account
-from dykemast._internal.serving.board import ServingBoard, list_heard
-from dykemast._internal.serving.budget_keepers import find_keeper
-from dykemast._internal.serving.fleet_size import is_large
-from dykemast._internal.serving.gossip import Gossip
-from dykemast._internal.serving.ledger_writer import LedgerWriter
-from dykemast._internal.serving.loans import ask_lender, borrow_tokens
+from dykemast._internal.serving.tokens.accounts import Account
+from dykemast._internal.serving.state.board import ServingBoard, list_heard
+from dykemast._internal.serving.tokens.budget_keepers import find_keeper
+from dykemast._internal.serving.state.fleet_size import is_large
+from dykemast._internal.serving.members.gossip import Gossip
+from dykemast._internal.serving.tokens.ledger_writer import LedgerWriter
+from dykemast._internal.serving.tokens.loans import ask_lender, borrow_tokens
 
 
 class TokenSource:
--- a/tests/functional/test_control_fields.py
+++ b/tests/functional/test_control_fields.py
@@ -54,7 +54,7 @@
 #: Fields that mean nothing to an engine.
 ORDINARY = (
     ('Accept', 'text/event-stream'),
-    ('User-Agent', 'desk/1.0 (x; y)'),
+    ('User-Agent', 'peer_news/1.0 (x; y)'),
     ('Content-Type', 'text/plain; charset=utf-8'),
     ('X-Some-App-Field', 'a  b,c="d"'),
     ('X-Request-Id', 'r-1'),
--- a/tests/lib/serving_boards.py
+++ b/tests/lib/serving_boards.py
@@ -9,7 +9,7 @@
     InstanceSettings,
     Listeners,
 )
-from dykemast._internal.serving.board import Peer, ServingBoard
+from dykemast._internal.serving.state.board import Peer, ServingBoard
 
 HOST = '127.0.0.1'
 
--- a/tests/unit/test_entry_choice.py
+++ b/tests/unit/test_entry_choice.py
@@ -12,7 +12,10 @@
 )
 from dykemast._internal.platform.capacity import decode_capacity
 from dykemast._internal.platform.settings_reader import SettingsReader
-from dykemast._internal.serving.strain import measure_strain, sheds_callers
+from dykemast._internal.serving.members.strain import (
+    measure_strain,
+    sheds_callers,
+)
 from tests.lib.serving_boards import make_board, make_boards
 
 
--- a/tests/unit/test_large_fleet.py
+++ b/tests/unit/test_large_fleet.py
@@ -7,7 +7,7 @@
 from dykemast._internal.operations.absent_servers import AbsentServers
 from dykemast._internal.operations.peer_loads import MAX_RELAYED, PeerLoads
 from dykemast._internal.operations.prompt_homes import find_home
-from dykemast._internal.serving.gossip_partners import (
+from dykemast._internal.serving.members.gossip_partners import (
     PEERS_A_ROUND,
     PEERS_IN_LARGE_FLEET,
     choose_partners,
--- a/tests/unit/test_ledger_writer.py
+++ b/tests/unit/test_ledger_writer.py
@@ -6,11 +6,11 @@
 from dykemast._internal.exceptions import VersionConflictError
 from dykemast._internal.operations.allowance_terms import Identity, Terms
 from dykemast._internal.platform.store_types import StoreObject
-from dykemast._internal.serving.accounts import Account
-from dykemast._internal.serving.budget_upkeep import give_back
-from dykemast._internal.serving.budgets import Budgets
-from dykemast._internal.serving.ledger_writer import LedgerWriter
-from dykemast._internal.serving.old_rows import Upkeep
+from dykemast._internal.serving.tokens.accounts import Account
+from dykemast._internal.serving.tokens.budget_upkeep import give_back
+from dykemast._internal.serving.tokens.budgets import Budgets
+from dykemast._internal.serving.tokens.ledger_writer import LedgerWriter
+from dykemast._internal.serving.tokens.old_rows import Upkeep
 from tests.lib.serving_boards import make_board
 
 ASKED = 4000
--- a/tests/unit/test_loans.py
+++ b/tests/unit/test_loans.py
@@ -6,11 +6,15 @@
 from dykemast._internal.models.budget_ledger import BudgetLedger, LedgerRow
 from dykemast._internal.models.routing_table import Workspace
 from dykemast._internal.operations.allowance_terms import Identity, Terms
-from dykemast._internal.serving.accounts import EMPTY_TIME, Account, note_lent
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.budget_keepers import find_keeper
-from dykemast._internal.serving.budgets import LATER_PRIORITY, Budgets
-from dykemast._internal.serving.loans import MAX_LENDERS, choose_lenders
+from dykemast._internal.serving.tokens.accounts import (
+    EMPTY_TIME,
+    Account,
+    note_lent,
+)
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.tokens.budget_keepers import find_keeper
+from dykemast._internal.serving.tokens.budgets import LATER_PRIORITY, Budgets
+from dykemast._internal.serving.tokens.loans import MAX_LENDERS, choose_lenders
 from tests.lib.serving_boards import make_boards
 
 
--- a/tests/unit/test_members.py
+++ b/tests/unit/test_members.py
@@ -5,7 +5,7 @@
 
 from dykemast._internal.exceptions import PlatformAwayError
 from dykemast._internal.platform.store_types import Listing, StoreObject
-from dykemast._internal.serving import members
+from dykemast._internal.serving.members import members
 from tests.lib.serving_boards import make_board
 
 #: Seconds in which the loop of a router tries to list it at least once.
--- a/tests/unit/test_planned_stop.py
+++ b/tests/unit/test_planned_stop.py
@@ -6,8 +6,11 @@
 from dykemast._internal.operations import planned_stop
 from dykemast._internal.operations.loop_watch import STALL_TIME, LoopWatch
 from dykemast._internal.operations.route_times import SPAN, RouteTimes
-from dykemast._internal.serving.in_progress import STOPPING_RETRY
-from dykemast._internal.serving.refusals import RefusalCode, RefusedError
+from dykemast._internal.serving.admission.in_progress import STOPPING_RETRY
+from dykemast._internal.serving.requests.refusals import (
+    RefusalCode,
+    RefusedError,
+)
 
 BEGAN = 100.0
 TTL = 1.5
--- a/tests/unit/test_server_lists.py
+++ b/tests/unit/test_server_lists.py
@@ -6,8 +6,8 @@
 
 from dykemast._internal.platform.servers import SERVER_KIND
 from dykemast._internal.platform.store_types import Listing, StoreObject
-from dykemast._internal.serving import server_lists
-from dykemast._internal.serving.backends import (
+from dykemast._internal.serving.knowledge import server_lists
+from dykemast._internal.serving.knowledge.backends import (
     AWAY_GAP,
     LAPSE_PAUSE,
     LAPSE_TIME,
@@ -15,9 +15,12 @@
     list_usable,
     make_follower,
 )
-from dykemast._internal.serving.board import ServingBoard
-from dykemast._internal.serving.follower import take_listing
-from dykemast._internal.serving.followers import MAX_WATCHERS, has_turn
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.knowledge.follower import take_listing
+from dykemast._internal.serving.knowledge.followers import (
+    MAX_WATCHERS,
+    has_turn,
+)
 from tests.lib.serving_boards import make_board, make_boards
 
 
--- a/tests/unit/test_serving_configuration.py
+++ b/tests/unit/test_serving_configuration.py
@@ -1,7 +1,7 @@
 """The configuration in force on the users' platform never goes back."""
 
 from dykemast._internal.platform.store_types import StoreObject
-from dykemast._internal.serving.configuration import (
+from dykemast._internal.serving.knowledge.configuration import (
     take_configuration,
     take_from_peer,
 )
--- a/tests/unit/test_serving_rules.py
+++ b/tests/unit/test_serving_rules.py
@@ -15,7 +15,10 @@
     cost_plain,
 )
 from dykemast._internal.operations.server_trust import ServerTrust
-from dykemast._internal.serving.event_parser import EventParser, read_event_id
+from dykemast._internal.serving.relay.event_parser import (
+    EventParser,
+    read_event_id,
+)
 
 
 def test_events_are_passed_on_whole_only() -> None:
--- a/tests/unit/test_token_search.py
+++ b/tests/unit/test_token_search.py
@@ -3,9 +3,12 @@
 import asyncio
 
 from dykemast._internal.operations.allowance_terms import Identity
-from dykemast._internal.serving.accounts import Account
-from dykemast._internal.serving.refusals import RefusalCode, RefusedError
-from dykemast._internal.serving.token_search import TokenSearch
+from dykemast._internal.serving.tokens.accounts import Account
+from dykemast._internal.serving.requests.refusals import (
+    RefusalCode,
+    RefusedError,
+)
+from dykemast._internal.serving.tokens.token_search import TokenSearch
 
 #: Seconds after which the test counts as hung; no promise.
 GUARD = 20
--- a/tools/fleet_mutations.py
+++ b/tools/fleet_mutations.py
@@ -17,7 +17,7 @@
     Mutation(
         'drop entries that lapsed while the store was away',
         'servers that live are known',
-        f'{_INTERNAL}/serving/backends.py',
+        f'{_INTERNAL}/serving/knowledge/backends.py',
         'if gap < AWAY_GAP or name in board.leaving:',
         'if gap >= 0:',
         'test_server_lists',
@@ -25,7 +25,7 @@
     Mutation(
         'keep lapsed entries for ever',
         'servers that are gone get nothing',
-        f'{_INTERNAL}/serving/backends.py',
+        f'{_INTERNAL}/serving/knowledge/backends.py',
         'if until < now]',
         'if until < 0]',
         'test_server_lists',
@@ -33,7 +33,7 @@
     Mutation(
         'take an older list from a peer',
         'knowledge never goes back',
-        f'{_INTERNAL}/serving/server_lists.py',
+        f'{_INTERNAL}/serving/knowledge/server_lists.py',
         'if listing.revision > board.server_state.revision:',
         'if listing.revision:',
         'test_server_lists',
@@ -41,7 +41,7 @@
     Mutation(
         'let every router watch',
         'calls to the store stay few',
-        f'{_INTERNAL}/serving/followers.py',
+        f'{_INTERNAL}/serving/knowledge/followers.py',
         '[:MAX_WATCHERS]',
         '',
         'test_server_lists',
@@ -65,7 +65,7 @@
     Mutation(
         'close connections though all get too much',
         'no work without use',
-        f'{_INTERNAL}/serving/strain.py',
+        f'{_INTERNAL}/serving/members/strain.py',
         _OTHERS_CARRY_MORE,
         'return True',
         'test_entry_choice',
@@ -73,7 +73,7 @@
     Mutation(
         'keep callers though others carry more',
         'callers reach routers that carry them',
-        f'{_INTERNAL}/serving/strain.py',
+        f'{_INTERNAL}/serving/members/strain.py',
         _OTHERS_CARRY_MORE,
         'return False',
         'test_entry_choice',
@@ -97,7 +97,7 @@
     Mutation(
         'never try a silent peer',
         'routers that are back are met',
-        f'{_INTERNAL}/serving/gossip_partners.py',
+        f'{_INTERNAL}/serving/members/gossip_partners.py',
         'count = max(1, room)',
         'count = max(0, room)',
         'test_large_fleet',
@@ -113,7 +113,7 @@
     Mutation(
         'count a server that is not there as a send',
         'no refusal while servers have room',
-        f'{_INTERNAL}/serving/attempts.py',
+        f'{_INTERNAL}/serving/relay/attempts.py',
         'if error.unconnected or error.absent:',
         'if error.unconnected:',
         'test_a_server_that_is_not_there',
@@ -121,7 +121,7 @@
     Mutation(
         'keep a reserve at each router of a large fleet',
         'tokens are usable',
-        f'{_INTERNAL}/serving/budgets.py',
+        f'{_INTERNAL}/serving/tokens/budgets.py',
         _RESERVE,
         'return 0 if urgent else URGENT_RESERVE',
         'test_loans',
@@ -129,7 +129,7 @@
     Mutation(
         'keep no reserve anywhere',
         'urgent requests find tokens',
-        f'{_INTERNAL}/serving/budgets.py',
+        f'{_INTERNAL}/serving/tokens/budgets.py',
         _RESERVE,
         'return 0',
         'test_loans',
@@ -137,7 +137,7 @@
     Mutation(
         'ask any routers for tokens',
         'tokens are usable',
-        f'{_INTERNAL}/serving/loans.py',
+        f'{_INTERNAL}/serving/tokens/loans.py',
         'lenders.sort(key=lambda card: -spare[card.instance])',
         'lenders.sort(key=id)',
         'test_loans',
@@ -145,7 +145,7 @@
     Mutation(
         'write an empty budget for each request',
         'calls to the store stay few',
-        f'{_INTERNAL}/serving/accounts.py',
+        f'{_INTERNAL}/serving/tokens/accounts.py',
         'return time.monotonic() > self.written_at + EMPTY_TIME',
         'return True',
         'test_loans',
@@ -153,7 +153,7 @@
     Mutation(
         'forget that a smaller request was refused',
         'no search without use',
-        f'{_INTERNAL}/serving/token_search.py',
+        f'{_INTERNAL}/serving/tokens/token_search.py',
         'if account.is_short_of(tokens):\n        # Fewer',
         'if account.is_short_of(-1):\n        # Fewer',
         'test_token_search',
@@ -161,7 +161,7 @@
     Mutation(
         'wait for tokens as long as the search takes',
         'a refusal comes at once',
-        f'{_INTERNAL}/serving/token_search.py',
+        f'{_INTERNAL}/serving/tokens/token_search.py',
         'await asyncio.wait((search,), timeout=max(0, left))',
         'await asyncio.wait((search,))',
         'test_token_search',
@@ -169,7 +169,7 @@
     Mutation(
         'serve on when the caller has left',
         'nothing goes on for callers who left',
-        f'{_INTERNAL}/serving/responder.py',
+        f'{_INTERNAL}/serving/requests/responder.py',
         'serving.cancel()',
         'serving.done()',
         'test_a_request_that_waits',
--- a/tools/serving_mutations.py
+++ b/tools/serving_mutations.py
@@ -11,7 +11,7 @@
     Mutation(
         'pass on what answers another request',
         'own answers',
-        f'{_INTERNAL}/serving/upstream_answer.py',
+        f'{_INTERNAL}/serving/sending/upstream_answer.py',
         'if head.request_id != request_id:',
         "if head.request_id == 'none':",
         'test_unsafe_requests_run_once',
@@ -19,7 +19,7 @@
     Mutation(
         'pass on an answer without a signature',
         'own answers',
-        f'{_INTERNAL}/serving/upstream_answer.py',
+        f'{_INTERNAL}/serving/sending/upstream_answer.py',
         'and not head.signed:',
         "and head.request_id == 'none':",
         'test_unsafe_requests_run_once',
@@ -27,7 +27,7 @@
     Mutation(
         'send once more what may not be repeated',
         'at most once',
-        f'{_INTERNAL}/serving/attempts.py',
+        f'{_INTERNAL}/serving/relay/attempts.py',
         'if error.sent and not ticket.is_repeatable():',
         'if error.sent and not ticket.route:',
         'test_what_may_not_be_repeated',
@@ -35,7 +35,7 @@
     Mutation(
         'say of a run that it did not happen',
         'refused means not run',
-        f'{_INTERNAL}/serving/attempts.py',
+        f'{_INTERNAL}/serving/relay/attempts.py',
         'if not self.may_have_run:',
         'if self.tried:',
         'test_unsafe_requests_run_once',
@@ -43,7 +43,7 @@
     Mutation(
         'end a stream whose last event is not whole',
         'whole answers',
-        f'{_INTERNAL}/serving/event_relay.py',
+        f'{_INTERNAL}/serving/relay/event_relay.py',
         'if self._parser.has_rest():',
         'if self._head is None:',
         'test_a_stream_that_ends',
@@ -51,7 +51,7 @@
     Mutation(
         'finish an answer that broke off',
         'whole answers',
-        f'{_INTERNAL}/serving/responder.py',
+        f'{_INTERNAL}/serving/requests/responder.py',
         'raise AnswerCutError(str(error)) from error',
         "await self.write(b'', more=False)\n            return",
         'test_a_stream_that_may_not',
@@ -131,7 +131,7 @@
     Mutation(
         'take an older configuration',
         'configuration never goes back',
-        f'{_INTERNAL}/serving/configuration.py',
+        f'{_INTERNAL}/serving/knowledge/configuration.py',
         'if table.version <= before:',
         'if table.version < 0:',
         'test_serving_configuration',
@@ -139,7 +139,7 @@
     Mutation(
         'send to servers that are leaving',
         'leaving servers get nothing new',
-        f'{_INTERNAL}/serving/backends.py',
+        f'{_INTERNAL}/serving/knowledge/backends.py',
         'if server.service == service and server.name not in board.leaving',
         'if server.service == service',
         'test_a_leaving_server',
@@ -163,7 +163,7 @@
     Mutation(
         'charge nothing for a run that failed',
         'spend never exceeds the budget',
-        f'{_INTERNAL}/serving/event_streams.py',
+        f'{_INTERNAL}/serving/relay/event_streams.py',
         'if not self.relay.events and not self._attempts.may_have_run:',
         'if not self.relay.events:',
         'test_a_run_that_the_engine',
@@ -171,7 +171,7 @@
     Mutation(
         'know of changes by watches alone',
         'configuration in force in time',
-        f'{_INTERNAL}/serving/freshness.py',
+        f'{_INTERNAL}/serving/knowledge/freshness.py',
         'if age > checked.bound * _choose_age(board):',
         'if not board.checked_at.get(kind):',
         'test_changes_reach',
@@ -179,7 +179,7 @@
     Mutation(
         'stop without giving tokens back',
         'tokens are usable',
-        f'{_INTERNAL}/serving/planned_stop.py',
+        f'{_INTERNAL}/serving/process/planned_stop.py',
         '_give_back(runtime, plan.cut_at),',
         'asyncio.sleep(0),',
         'test_a_stopped_router',
@@ -187,7 +187,7 @@
     Mutation(
         'let a lowered budget be spent on',
         'spend never exceeds the budget',
-        f'{_INTERNAL}/serving/budget_upkeep.py',
+        f'{_INTERNAL}/serving/tokens/budget_upkeep.py',
         'if ledger and terms.prepaid < ledger.prepaid:',
         'if ledger is None:',
         'test_a_lowered_budget',
@@ -195,7 +195,7 @@
     Mutation(
         'log the key of a caller',
         'keys are never logged',
-        f'{_INTERNAL}/serving/admission.py',
+        f'{_INTERNAL}/serving/admission/admission.py',
         "RefusedError(RefusalCode.wrong_key, {'version': table.version})",
         "RefusedError(RefusalCode.wrong_key, {'key': request.key})",
         'test_wrong_keys',
--- a/tools/stop_mutations.py
+++ b/tools/stop_mutations.py
@@ -8,7 +8,7 @@
 _CUTS_NOTHING: Final = 'a planned stop cuts off no request'
 _TOKENS: Final = 'tokens are given back'
 _PLAN: Final = f'{_INTERNAL}/operations/planned_stop.py'
-_STOP: Final = f'{_INTERNAL}/serving/planned_stop.py'
+_STOP: Final = f'{_INTERNAL}/serving/process/planned_stop.py'
 _OUTLASTS: Final = 'test_a_stream_that_outlasts'
 
 #: Mutations of these rules.
@@ -24,7 +24,7 @@
     Mutation(
         'do not ask how long requests of a route take',
         _CUTS_NOTHING,
-        f'{_INTERNAL}/serving/in_progress.py',
+        f'{_INTERNAL}/serving/admission/in_progress.py',
         'usual = board.usual_times.measure(ticket.route.name, ticket.started)',
         'usual = 0.0',
         _OUTLASTS,
@@ -72,7 +72,7 @@
     Mutation(
         'write a row twice at the same time',
         'spend never exceeds the budget',
-        f'{_INTERNAL}/serving/ledger_writer.py',
+        f'{_INTERNAL}/serving/tokens/ledger_writer.py',
         'async with account.turn:',
         'if account:',
         'test_ledger_writer',
