--- a/src/dykemast/_internal/operations/return_time.py
+++ b/src/dykemast/_internal/operations/return_time.py
@@ -10,8 +10,8 @@
 from dykemast._internal.operations.allowance_terms import Identity
 
 #: Seconds after which a caller may come back to another router: by then the
-#: answer has reached it. On days with cuts (three seeds of three days) one more
-#: in 20 of the long prompts was in time than with 4 s, and as many refused.
+#: answer has reached it. Of 100 long prompts 63 were in time and 24 refused
+#: when all returned at once, 59 and 20 when all returned after 4 s (18 days).
 ELSEWHERE_TIME: Final = 0.05
 #: Seconds after which it may come back when others are as short: half of a
 #: common outage.
