--- a/src/dykemast/_internal/serving/tokens/ledger_writer.py
+++ b/src/dykemast/_internal/serving/tokens/ledger_writer.py
@@ -75,6 +75,7 @@
         except ContendedError as error:
             # Seven routers that start at once meet each other in ten budgets;
             # to take that for an outage refused callers of all of these.
+            account.see(None)
             self.is_away = False
             _log(
                 'budget_contended',
--- a/tests/unit/test_ledger_writer.py
+++ b/tests/unit/test_ledger_writer.py
@@ -93,3 +93,13 @@
     await writer.write(Account('w', Identity('node-0', 'node-0/1')))
     assert not writer.is_away
     assert writer.may_try()
+
+
+async def test_a_contended_budget_is_not_given_back() -> None:
+    # A router that stopped while others wrote took the last conflict for the
+    # confirmation, and would have left its spare tokens to be charged in full.
+    store, board = ContendedStore(), make_board()
+    writer = LedgerWriter(board, store)
+    budgets = Budgets(board, Identity('node-0', 'node-0/1'), None)
+    budgets.open_account('w')
+    assert not await give_back(Upkeep(board, store, budgets, writer, None))
