--- /dev/null
+++ b/src/dykemast/_internal/serving/relay/payments.py
@@ -0,0 +1,70 @@
+"""Tokens of one request: held before it is sent, charged when it has ended."""
+
+from dykemast._internal.operations.stream_usage import StreamUsage
+from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.requests.refusals import (
+    RefusalCode,
+    RefusedError,
+)
+from dykemast._internal.serving.requests.ticket import Ticket
+from dykemast._internal.serving.tokens.holds import Hold
+
+
+class Payment:
+    """What one request holds of its workspace's budget, if that has one.
+
+    :param parts: parts of the program.
+    :param ticket: the request.
+    """
+
+    def __init__(self, parts: Parts, ticket: Ticket) -> None:
+        """Hold nothing yet."""
+        self._parts = parts
+        self._ticket = ticket
+        self._holds: list[Hold] = []
+        request, engine = ticket.request, ticket.service.engine
+        self.usage = StreamUsage(
+            request.prompt_tokens,
+            request.output_tokens,
+            engine.tokens_per_event if engine else 1,
+        )
+
+    async def hold(self) -> None:
+        """Hold what the request may consume; what is held already counts.
+
+        :raises RefusedError: when there are not as many tokens.
+        """
+        workspace = self._ticket.workspace
+        if workspace is None or workspace.prepaid is None:
+            return
+        held = sum(one.tokens for one in self._holds)
+        missing = self.usage.count_most() - held
+        if missing <= 0:
+            return
+        priority = self._ticket.route.priority
+        more = await self._parts.budgets.hold(workspace, missing, priority)
+        self._holds.append(more)
+        self._parts.meters.tokens.add({'state': 'held'}, missing)
+
+    async def hold_again(self) -> None:
+        """Hold what one more engine may make of an answer that broke off.
+
+        :raises RefusedError: when there are not as many tokens; it has run,
+            so that it is not refused as one that has not.
+        """
+        try:
+            await self.hold()
+        except RefusedError as error:
+            details = {'reason': error.code.name, **error.details}
+            raise RefusedError(RefusalCode.upstream_failed, details) from error
+
+    def settle(self) -> None:
+        """Charge what was consumed, and let the rest go."""
+        used = self.usage.count_used()
+        left = used
+        for held in self._holds:
+            charged = min(left, held.tokens)
+            self._parts.budgets.settle(held, charged)
+            left -= charged
+        if self._holds:
+            self._parts.meters.tokens.add({'state': 'consumed'}, used)
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -24,8 +24,8 @@
 
 
 def test_a_seed_with_a_slow_link_does_not_overspend() -> None:
-    # With one faulty link and three planned stops a budget of 60,000 tokens
-    # was consumed to 60,111, and to 60,114 in a replay; four more replays kept
-    # it. Suspected: a stream that breaks off is charged for two events beyond
-    # those that were read, and an engine behind a slow link has made more.
+    # With one silent link and three planned stops 60,111 of 60,000 tokens were
+    # consumed, and 60,114 in a replay (three of seven plays): callers left in
+    # the silence, and what the engine made then was not charged; see
+    # test_unread_events, which shows it each time.
     assert not run.run_seed(OVERSPENT_SEED).broken
--- /dev/null
+++ b/tests/functional/test_unread_events.py
@@ -0,0 +1,103 @@
+"""Events that an engine made and that no router read.
+
+With a link to an engine silent for 2 s, callers who left within it were charged
+for two events beyond those that had been read; the engine had gone on. A budget
+of 60,000 tokens was consumed to 60,111 and 60,114 (a seed of the soak, in three
+of seven plays).
+"""
+
+import signal
+import time
+from http import client as http_client
+
+from tests.lib.deployment import Deployment
+from tests.lib.fixtures import wait_until
+from tests.lib.users_caller import begin_stream
+from tests.soak.links import Links
+from tools.polling import HANG_GUARD
+
+#: Seconds for which the link is silent; an event comes each 0.01 s.
+SILENCE = 0.6
+PROMPT, MOST = 100, 200
+
+
+class LinkedDeployment:
+    """A deployment whose engines are behind proxies."""
+
+    def __init__(self, engines: int) -> None:
+        self.deployment = Deployment(routers=1, engines=engines)
+        self.engines = [f'engine-{number}' for number in range(engines)]
+        self.links = Links()
+        self.links.start()
+        for name in self.engines:
+            port = self.deployment.backend_ports[name]
+            listed = self.links.open(name, port)
+            self.deployment.listed_ports[name] = listed
+        self.deployment.start()
+
+    def begin_stream(self) -> http_client.HTTPResponse:
+        """Ask for a stream, and read a little of it."""
+        connection, _ = begin_stream(
+            self.deployment,
+            X_Token_Usage=f'{PROMPT},{MOST}',
+            Connection='close',
+        )
+        answer = connection.getresponse()
+        answer.read(100)
+        return answer
+
+    def find_running(self) -> str:
+        """Tell which engine has a run."""
+        return next(name for name in self.engines if self.count_made(name))
+
+    def count_made(self, engine: str) -> int:
+        """Count the events that an engine made."""
+        runs = self.deployment.control(engine)['runs']
+        return sum(run['events'] for run in runs)
+
+    def count_all_made(self) -> int:
+        return sum(map(self.count_made, self.engines))
+
+    def stop_router(self) -> int:
+        """Stop the router; tell what it has charged."""
+        stopped = self.deployment.processes.running['node-0']
+        stopped.send_signal(signal.SIGTERM)
+        assert stopped.wait(HANG_GUARD) == 0
+        rows = self.deployment.list_rows('joinville')
+        return sum(row.limit for row in rows)
+
+    def stop(self) -> None:
+        self.deployment.stop()
+        self.links.stop()
+
+
+def has_logged(linked: LinkedDeployment, event: str) -> bool:
+    """Tell whether the router has logged an event."""
+    events = linked.deployment.read_events('node-0')
+    return event in {line['event'] for line in events}
+
+
+def test_a_caller_who_leaves_in_a_silence_is_charged_what_was_made() -> None:
+    linked = LinkedDeployment(engines=1)
+    answer = linked.begin_stream()
+    linked.links.switch('engine-0', 'silent')
+    time.sleep(SILENCE)
+    answer.close()
+    assert wait_until(lambda: has_logged(linked, 'caller_left'))
+    charged = linked.stop_router()
+    assert charged >= PROMPT + linked.count_all_made()
+    linked.stop()
+
+
+def test_what_two_engines_made_for_one_stream_is_charged() -> None:
+    linked = LinkedDeployment(engines=2)
+    answer = linked.begin_stream()
+    first = linked.find_running()
+    linked.links.switch(first, 'silent')
+    time.sleep(SILENCE)
+    linked.links.switch(first, 'reset')
+    assert answer.read().endswith(b'\n\n')
+    assert wait_until(lambda: has_logged(linked, 'served'))
+    charged = linked.stop_router()
+    assert charged >= PROMPT + linked.count_all_made()
+    linked.stop()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -30,12 +30,21 @@
     :param folder: where to write it.
     :raises ValueError: when the text to replace is not there once.
     """
+    if count_places(mutation) != 1:
+        raise ValueError(f'{mutation.name}: its text is not there once.')
     shutil.copytree(_SOURCE, folder, dirs_exist_ok=True)
     path = Path(folder) / mutation.path
-    text = path.read_text()
-    if text.count(mutation.old) != 1:
-        raise ValueError(f'{mutation.name}: its text is not there once.')
-    path.write_text(text.replace(mutation.old, mutation.new))
+    path.write_text(path.read_text().replace(mutation.old, mutation.new))
+
+
+def count_places(mutation: Mutation) -> int:
+    """Count the places in the source that a mutation would replace.
+
+    :param mutation: the rule.
+    :returns: how many; 0 when there is no such file, too.
+    """
+    path = _SOURCE / mutation.path
+    return path.read_text().count(mutation.old) if path.exists() else 0
 
 
 def is_caught(mutation: Mutation) -> bool:
--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -20,7 +20,7 @@
     Mutation(
         'serve on after the caller has left',
         'nothing goes on for nobody',
-        f'{_SERVING}/responder.py',
+        f'{_SERVING}/requests/responder.py',
         '(serving, leaving), return_when=asyncio.FIRST_COMPLETED',
         '(serving,)',
         _SOAK,
@@ -28,7 +28,7 @@
     Mutation(
         'send to leaving servers, beside other faults',
         'leaving servers get nothing new',
-        f'{_SERVING}/backends.py',
+        f'{_SERVING}/knowledge/backends.py',
         'if server.service == service and server.name not in board.leaving',
         'if server.service == service',
         _SOAK,
@@ -36,7 +36,7 @@
     Mutation(
         'say of a run that it did not happen, beside other faults',
         'refused means not run',
-        f'{_SERVING}/attempts.py',
+        f'{_SERVING}/relay/attempts.py',
         'if not self.may_have_run:',
         'if self.tried:',
         _SOAK,
