--- a/tests/functional/test_deployment_servers.py
+++ b/tests/functional/test_deployment_servers.py
@@ -78,22 +78,22 @@
     assert b'engine-1' in reply.body
 
 
-def test_a_stream_that_may_not_be_resumed_is_cut() -> None:
+def check_cut_after_two_events(fault: str) -> None:
+    """Check what a caller gets of a stream that may not be resumed."""
     deployment = start_one_engine()
-    set_engines(deployment, fault='cut')
+    set_engines(deployment, fault=fault)
     reply = stream(deployment, '/stream/once/a')
     set_engines(deployment, fault='')
     assert not reply.whole
     assert reply.body.count(b'data:') == 2
 
 
+def test_a_stream_that_may_not_be_resumed_is_cut() -> None:
+    check_cut_after_two_events('cut')
+
+
 def test_a_stream_that_ends_within_an_event_is_cut() -> None:
-    deployment = start_one_engine()
-    set_engines(deployment, fault='part')
-    reply = stream(deployment, '/stream/once/a')
-    set_engines(deployment, fault='')
-    assert not reply.whole
-    assert reply.body.count(b'data:') == 2
+    check_cut_after_two_events('part')
 
 
 def test_what_may_not_be_repeated_is_not_sent_once_more() -> None:
--- a/tests/lib/engine.py
+++ b/tests/lib/engine.py
@@ -24,7 +24,7 @@
     count_prompt,
     make_usage,
 )
-from tests.lib.stand_ins import make_parser, run_app
+from tests.lib.stand_ins import make_controls, make_parser, run_app
 
 settings = {
     'rate': 200.0,
@@ -94,21 +94,11 @@
     return JSONResponse({**shown, 'models': settings['models']})
 
 
-async def show_counts(request: Request) -> Response:
-    return JSONResponse(ran)
-
-
-async def control(request: Request) -> Response:
-    settings.update(await request.json())
-    return JSONResponse(settings)
-
-
 app = Starlette(
     routes=[
         Route('/v1/chat/completions', complete, methods=['POST']),
         Route('/load', show_load),
-        Route('/counts', show_counts),
-        Route('/control', control, methods=['POST']),
+        *make_controls(settings, ran),
     ]
 )
 
--- a/tests/lib/lease_steps.py
+++ b/tests/lib/lease_steps.py
@@ -24,6 +24,18 @@
         world.now += 31
 
 
+def die_and_use_up(world: World) -> int:
+    """Let the first router die, take its lease back, use up what is left.
+
+    :returns: tokens in doubt once its lease was taken back.
+    """
+    world.replace(0, same_instance=True)
+    world.reclaim(0)
+    doubtful = world.shard.budget.doubtful
+    use_up(world)
+    return doubtful
+
+
 def find_row(world: World, router: Router):
     holder = router.book.holders[BUDGET].owner.holder
     return world.shard.budget.rows[holder]
--- a/tests/lib/plain.py
+++ b/tests/lib/plain.py
@@ -11,7 +11,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from tests.lib.stand_ins import make_parser, run_app
+from tests.lib.stand_ins import make_controls, make_parser, run_app
 
 settings = {'delay': 0}
 ran: dict[str, int] = {}
@@ -33,19 +33,9 @@
     return JSONResponse(seen, headers=echo)
 
 
-async def show_counts(request: Request) -> Response:
-    return JSONResponse(ran)
-
-
-async def control(request: Request) -> Response:
-    settings.update(await request.json())
-    return JSONResponse(settings)
-
-
 app = Starlette(
     routes=[
-        Route('/counts', show_counts),
-        Route('/control', control, methods=['POST']),
+        *make_controls(settings, ran),
         Route(
             '/{path:path}', run_call, methods=['GET', 'POST', 'PUT', 'DELETE']
         ),
--- a/tests/lib/stand_ins.py
+++ b/tests/lib/stand_ins.py
@@ -4,6 +4,9 @@
 from typing import Any
 
 import uvicorn
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -28,3 +31,19 @@
         log_level=log_level,
         timeout_graceful_shutdown=1,
     )
+
+
+def make_controls(settings: dict[str, Any], counts: dict[str, int]) -> list:
+    """Make the routes that set what a stand-in does and tell what it ran."""
+
+    async def show_counts(_: Request) -> Response:
+        return JSONResponse(counts)
+
+    async def control(request: Request) -> Response:
+        settings.update(await request.json())
+        return JSONResponse(settings)
+
+    return [
+        Route('/counts', show_counts),
+        Route('/control', control, methods=['POST']),
+    ]
--- a/tests/unit/test_lease_death.py
+++ b/tests/unit/test_lease_death.py
@@ -2,6 +2,7 @@
 
 from tests.lib.lease_steps import (
     count_spent,
+    die_and_use_up,
     find_row,
     make_world,
     use_up,
@@ -14,10 +15,7 @@
     row = find_row(world, dying)
     assert row.armed < row.allotted
     assert world.hold_all(dying) == row.armed - count_spent(dying)
-    world.replace(0, same_instance=True)
-    world.reclaim(0)
-    assert world.shard.budget.doubtful == row.armed - row.spent
-    use_up(world)
+    assert die_and_use_up(world) == row.armed - row.spent
     assert world.consumed <= world.paid
 
 
@@ -27,11 +25,8 @@
     row = find_row(world, cut_off)
     world.now += 31
     assert world.hold_all(cut_off) == row.allotted - count_spent(cut_off)
-    world.replace(0, same_instance=True)
-    world.reclaim(0)
     # Who died then cannot be shown to have died soon after its last write.
-    assert world.shard.budget.doubtful == row.allotted - row.spent
-    use_up(world)
+    assert die_and_use_up(world) == row.allotted - row.spent
     assert world.consumed <= world.paid
 
 
@@ -49,9 +44,7 @@
     low = find_row(world, dying)
     assert low.armed < high
     assert world.hold_all(dying) == low.armed - count_spent(dying)
-    world.replace(0, same_instance=True)
-    world.reclaim(0)
-    use_up(world)
+    die_and_use_up(world)
     assert world.consumed <= world.paid
 
 
