--- a/src/dykemast/_internal/models/services.py
+++ b/src/dykemast/_internal/models/services.py
@@ -28,6 +28,13 @@
     max_connections: int
     engine: Engine | None
 
+    def read_tokens_per_event(self) -> int:
+        """Tell how many tokens an event of a stream holds.
+
+        :returns: tokens; 1 where the configuration says nothing.
+        """
+        return self.engine.tokens_per_event if self.engine else 1
+
 
 class Limits(NamedTuple):
     """What callers may send.
--- a/src/dykemast/_internal/operations/prompt_caches.py
+++ b/src/dykemast/_internal/operations/prompt_caches.py
@@ -1,7 +1,7 @@
 """Which prompts each model engine is thought to keep."""
 
 import collections
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final, NamedTuple
 
 from dykemast._internal.models.caller_request import PromptPart
@@ -78,12 +78,13 @@
         cache = self._caches.get(server)
         return cache.count_kept(prompt) if cache else 0
 
-    def forget(self, server: str) -> None:
-        """Forget an engine that is gone.
+    def keep_only(self, servers: Collection[str]) -> None:
+        """Forget engines that are gone.
 
-        :param server: its id.
+        :param servers: ids of those that are there.
         """
-        self._caches.pop(server, None)
+        for gone in set(self._caches) - set(servers):
+            self._caches.pop(gone)
 
     def _open(self, server: str, capacity: int) -> PromptCache:
         cache = self._caches.get(server)
--- a/src/dykemast/_internal/operations/server_choice.py
+++ b/src/dykemast/_internal/operations/server_choice.py
@@ -6,17 +6,16 @@
 #: Prompt tokens that a running stream slows a new one by: a step takes some
 #: 2 % longer with each, over the some hundred tokens of an answer.
 TOKENS_PER_RUNNING: Final = 250
-#: Prompt tokens that an engine may have before it without harm to the streams
-#: beside them: it reads 2,048 at a step, and an event takes three steps. At
-#: engines 1.3 times slower than the rest streams beside longer prompts were
-#: late in 55 to 78 of 100 cases, at the rest in 0 to 14.
-HARMLESS_TOKENS: Final = 4096
-#: Tokens beyond that from which on all three steps of an event are held up.
+#: Prompt tokens that an engine reads at a step, which makes one token of each
+#: stream beside it: what the users' engines do. An event of three tokens bears
+#: two such steps; a longer prompt holds up all three. Streams beside one were
+#: late in 55 to 78 of 100 cases at engines 1.3 times slower than the rest, at
+#: the rest in 0 to 14.
 PIECE_TOKENS: Final = 2048
 #: Tokens that a long prompt may wait for rather than make one stream late: one
-#: that waits for 28,000 is late itself and loses six times as much. On a day
+#: that waits for 28,000 is late itself and loses six times as much. In runs
 #: without faults short streams were late in 22 of 100 cases without this, 15
-#: with it, long prompts in 9.5 and 8 (four seeds, with 8,000 tokens).
+#: with it, long prompts in 9.5 and 8 (four runs, with 8,000 tokens).
 TOKENS_PER_HARM: Final = 4400
 #: Times that a shared part counts in addition when it has to be read: what
 #: one engine keeps, another should not read again.
@@ -38,6 +37,7 @@
     :param unread: prompt tokens that it has to read before.
     :param missing: tokens of this prompt that it has to read.
     :param missing_shared: those of them that other prompts have as well.
+    :param tokens_per_event: tokens that an event of its streams holds.
     :param pause_risk: how likely the pause of a stream beside a long prompt is
         too long there, from 0 to 1.
     :param trust: from 0, failing, to 1.
@@ -49,6 +49,7 @@
     unread: int
     missing: int
     missing_shared: int
+    tokens_per_event: int
     pause_risk: float
     trust: float
 
@@ -111,8 +112,9 @@
 
 def _count_late(option: EngineOption) -> float:
     """Count the streams that the reading of a prompt would make late."""
-    before = max(0, option.unread - HARMLESS_TOKENS)
-    after = max(0, option.unread + option.missing - HARMLESS_TOKENS)
+    harmless = PIECE_TOKENS * (option.tokens_per_event - 1)
+    before = max(0, option.unread - harmless)
+    after = max(0, option.unread + option.missing - harmless)
     held_up = min(1, (after - before) / PIECE_TOKENS)
     return held_up * option.pause_risk * option.running
 
--- a/src/dykemast/_internal/operations/server_trust.py
+++ b/src/dykemast/_internal/operations/server_trust.py
@@ -1,6 +1,7 @@
 """How far backend servers are trusted, from what came of requests."""
 
 import math
+from collections.abc import Collection
 from typing import Final, NamedTuple
 
 #: Weight of a new outcome against those before.
@@ -45,9 +46,10 @@
         kept = math.exp((record.at - now) / FORGET_TIME)
         return 1 - record.failed * kept
 
-    def forget(self, server: str) -> None:
-        """Forget a server that is gone.
+    def keep_only(self, servers: Collection[str]) -> None:
+        """Forget servers that are gone.
 
-        :param server: its id.
+        :param servers: ids of those that are there.
         """
-        self._records.pop(server, None)
+        for gone in set(self._records) - set(servers):
+            self._records.pop(gone)
--- a/src/dykemast/_internal/serving/choice/choices.py
+++ b/src/dykemast/_internal/serving/choice/choices.py
@@ -93,6 +93,7 @@
         missing_shared=0
         if server.name == home
         else _count_missing_shared(parts, ticket, server.name),
+        tokens_per_event=ticket.service.read_tokens_per_event(),
         pause_risk=parts.loads.pauses.measure_risk(server.name, now),
         trust=parts.trust.measure(server.name, now),
     )
--- a/src/dykemast/_internal/serving/process/loops.py
+++ b/src/dykemast/_internal/serving/process/loops.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 from dykemast._internal.operations.loop_watch import WATCH_PAUSE
+from dykemast._internal.serving.choice.gone_servers import forget_gone
 from dykemast._internal.serving.knowledge import backends, configuration
 from dykemast._internal.serving.members import gossip, members
 from dykemast._internal.serving.tokens import budget_upkeep
@@ -44,6 +45,7 @@
         follow_kind(board, store, tables),
         follow_kind(board, store, servers),
         backends.forget_lapsed(board),
+        forget_gone(assembly.parts),
         members.keep_listed(board, store),
         gossip.spread_news(board, assembly.links.gossip),
         budget_upkeep.follow_table(assembly.upkeep),
--- a/src/dykemast/_internal/serving/relay/payments.py
+++ b/src/dykemast/_internal/serving/relay/payments.py
@@ -22,11 +22,11 @@
         self._parts = parts
         self._ticket = ticket
         self._holds: list[Hold] = []
-        request, engine = ticket.request, ticket.service.engine
+        request = ticket.request
         self.usage = StreamUsage(
             request.prompt_tokens,
             request.output_tokens,
-            engine.tokens_per_event if engine else 1,
+            ticket.service.read_tokens_per_event(),
         )
 
     async def hold(self) -> None:
--- a/src/dykemast/_internal/serving/tokens/token_search.py
+++ b/src/dykemast/_internal/serving/tokens/token_search.py
@@ -19,10 +19,10 @@
 )
 from dykemast._internal.serving.tokens.token_source import TokenSource
 
-#: Seconds that a request waits for tokens. On a day with a slow store and
-#: routers cut off, 1,257 of 1,275 holds were had within 0.1 s, most in one
-#: write to the store, and 18 later; without such trouble all of 1,761 within
-#: 0.04 s. What takes longer is mostly refused, and its caller has lost more.
+#: Seconds that a request waits for tokens. With a slow store and routers cut
+#: off, 1,257 of 1,275 holds were had within 0.1 s, most in one write to the
+#: store, and 18 later; without such trouble all of 1,761 within 0.04 s. What
+#: takes longer is mostly refused, and its caller has lost more.
 HOLD_PATIENCE: Final = 0.18
 #: Seconds for which a lack of tokens is believed without asking again.
 SHORT_TIME: Final = 0.5
--- a/src/dykemast/_internal/serving/tokens/token_source.py
+++ b/src/dykemast/_internal/serving/tokens/token_source.py
@@ -12,8 +12,8 @@
 from dykemast._internal.serving.tokens.loans import ask_lender, borrow_tokens
 
 #: Seconds of its own demand that a router borrows from a budget's keeper beyond
-#: what it needs: with it whole days of the two grown sites were played in 1,725
-#: and 2,151 calls to the store; more was not tried there.
+#: what it needs: with it two large fleets made 1,725 and 2,151 calls to the
+#: store in 50 s under load; more was not tried there.
 LOAN_TIME: Final = 4.0
 
 
--- a/tests/unit/test_long_prompts.py
+++ b/tests/unit/test_long_prompts.py
@@ -99,6 +99,7 @@
             unread=engine.count_unread(now),
             missing=missing,
             missing_shared=0,
+            tokens_per_event=STEPS_PER_EVENT,
             pause_risk=risk if self.weighs_pauses else 0,
             trust=1,
         )
@@ -144,10 +145,34 @@
     assert after.prompts == before.prompts
 
 
+def make_option(name: str) -> EngineOption:
+    """Make an engine with ten streams that would have to read a long prompt."""
+    return EngineOption(
+        server=name,
+        running=10,
+        slots=64,
+        unread=0,
+        missing=LONG_MISSING,
+        missing_shared=0,
+        tokens_per_event=STEPS_PER_EVENT,
+        pause_risk=0,
+        trust=1,
+    )
+
+
+def test_how_long_a_prompt_harms_depends_on_what_an_event_holds() -> None:
+    # Two steps are held up by 4,000 tokens. An event of three has one left; an
+    # event of one is late whatever else its engine does.
+    slow = make_option('slow')._replace(missing=4000, pause_risk=0.5)
+    fast = make_option('fast')._replace(missing=4000, unread=500)
+    assert choose_cheapest([slow, fast], cost_engine, float) == 'slow'
+    single = [one._replace(tokens_per_event=1) for one in (slow, fast)]
+    assert choose_cheapest(single, cost_engine, float) == 'fast'
+
+
 def test_prompts_go_to_a_slow_engine_rather_than_be_late() -> None:
     def weigh(name: str, **fields: float) -> EngineOption:
-        option = EngineOption(name, 10, 64, 0, LONG_MISSING, 0, 0, 1)
-        return option._replace(**fields)
+        return make_option(name)._replace(**fields)
 
     slow = weigh('slow', pause_risk=0.5)
     assert choose_cheapest([slow, weigh('fast')], cost_engine, float) == 'fast'
--- a/tests/unit/test_serving_rules.py
+++ b/tests/unit/test_serving_rules.py
@@ -6,6 +6,7 @@
 from dykemast._internal.operations.own_loads import OwnLoads
 from dykemast._internal.operations.peer_loads import PeerLoads
 from dykemast._internal.operations.prompt_cache import PromptCache
+from dykemast._internal.operations.prompt_caches import PromptCaches
 from dykemast._internal.operations.retry_allowance import RetryAllowance
 from dykemast._internal.operations.server_choice import (
     EngineOption,
@@ -70,6 +71,7 @@
             'unread': 0,
             'missing': 1000,
             'missing_shared': 0,
+            'tokens_per_event': 3,
             'pause_risk': 0,
             'trust': 1,
             **fields,
@@ -134,3 +136,17 @@
     assert allowance.take_hold(8_000, 12_000)
     assert allowance.take_hold(12_000)
     assert not allowance.count_room()
+
+
+def test_servers_that_are_gone_are_forgotten() -> None:
+    # Nothing ever dropped what was known of a server; each start has a new id.
+    caches, trust = PromptCaches(), ServerTrust()
+    for server in ('gone', 'there'):
+        caches.note_sent(server, [PromptPart('a', 60)], 100, 0)
+        trust.note_outcome(server, 0, failed=True)
+    caches.keep_only(['there'])
+    trust.keep_only(['there'])
+    assert not caches.count_kept('gone', [PromptPart('a', 60)])
+    assert caches.count_kept('there', [PromptPart('a', 60)]) == 60
+    assert trust.measure('gone', 0) == 1
+    assert trust.measure('there', 0) < 1
