Entries that name no server cost only themselves; a start is another server

Story: one object of kind servers whose address was a number ended the tasks that read the list; the router stayed ready and answered 503 to six of six requests from about two seconds later. An entry that said draining and then ready with a later born was never used again.

Cause: a page was read as a whole and objects by their field names, with errors (AttributeError, UnicodeDecodeError, RecursionError) that nobody caught; a task that ended so was not missed by anyone; and all that is known of a server was kept by its id, which it may now keep when it starts again.

Change: items are told apart before any is read (platform/json_members, store_items, store_pages), entries are decoded by a typed schema in one place (platform/servers), an entry that becomes unusable names no server from then on, budgets' rows and members likewise. A start has a name of its own (operations/server_starts) under which all is kept and told to peers. Loops are supervised: logged, counted, run again, and a router in which that does not help is not ready.

--- a/src/dykemast/_internal/commands/instance.py
+++ b/src/dykemast/_internal/commands/instance.py
@@ -9,11 +9,7 @@
 from dykemast._internal.exceptions import InvalidFileError
 from dykemast._internal.platform.settings import read_settings
 from dykemast._internal.serving.state.board import ServingBoard
-from dykemast._internal.serving.process.reload import (
-    follow_settings,
-    reload_settings,
-)
-from dykemast._internal.serving.process.planned_stop import stop_router
+from dykemast._internal.serving.process import loops, planned_stop, reload
 from dykemast._internal.serving.process.runtime import open_runtime
 from dykemast._internal.utils.events import LineHandler, make_logger, open_log
 
@@ -50,14 +46,11 @@
 
 async def _serve(board: ServingBoard, lines: LineHandler) -> None:
     stop = _catch_signals(board)
-    tasks = [
-        asyncio.create_task(lines.write_lines()),
-        asyncio.create_task(follow_settings(board)),
-    ]
+    tasks = loops.start_first_loops(board, lines)
     runtime = await open_runtime(board)
     _log('started', hall=board.settings.hall)
     await stop.wait()
-    await stop_router(runtime)
+    await planned_stop.stop_router(runtime)
     for task in tasks:
         task.cancel()
 
@@ -67,7 +60,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, board)
+    loop.add_signal_handler(signal.SIGHUP, reload.reload_settings, board)
     loop.set_exception_handler(_log_unexpected)
     return stop
 
--- a/src/dykemast/_internal/exceptions.py
+++ b/src/dykemast/_internal/exceptions.py
@@ -78,12 +78,16 @@
     """Other routers wrote the object each time; the store is there."""
 
 
+class BudgetNotUsableError(PlatformError):
+    """The row of a budget makes no sense; nothing may be consumed by it."""
+
+
 class PeerError(DykemastError):
     """A call to another router failed or was refused."""
 
 
 class NotUsableError(DykemastError):
-    """What another router sent makes no sense."""
+    """What another router sent, or the store holds, makes no sense."""
 
 
 class UpstreamError(DykemastError):
--- a/src/dykemast/_internal/models/budget_ledger.py
+++ b/src/dykemast/_internal/models/budget_ledger.py
@@ -39,6 +39,16 @@
     closed_spent: int = 0
     closed_spare: int = 0
 
+    def is_sound(self) -> bool:
+        """Tell whether the counts can be: one below 0 would make tokens.
+
+        :returns: whether they can.
+        """
+        rows = self.rows.values()
+        counts = [(row.limit, row.spent, row.charged) for row in rows]
+        counts.append((self.closed, self.closed_spent, self.closed_spare))
+        return min(min(three) for three in counts) >= 0
+
     def count_free(self) -> int:
         """Count the tokens that no router may consume yet.
 
--- a/src/dykemast/_internal/platform/configuration.py
+++ b/src/dykemast/_internal/platform/configuration.py
@@ -2,6 +2,7 @@
 
 from typing import Any, Final
 
+from dykemast._internal.exceptions import NotUsableError
 from dykemast._internal.models.routing_table import (
     RoutingTable,
     Workspace,
@@ -16,6 +17,15 @@
 CONFIGURATION_NAME: Final = 'main'
 _MS: Final = 1000.0
 
+#: What a document of other fields or types than expected raises.
+_MISFITS: Final = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+
 Document = dict[str, Any]
 
 
@@ -24,8 +34,16 @@
 
     :param stored: the object.
     :returns: the routing table.
-    :raises KeyError, TypeError, ValueError: when it makes no sense.
+    :raises NotUsableError: when it makes no sense.
     """
+    try:
+        return _decode(stored)
+    except _MISFITS as error:
+        text = f'{type(error).__name__}: {error}'
+        raise NotUsableError(text) from error
+
+
+def _decode(stored: StoreObject) -> RoutingTable:
     spec = stored.spec
     workspaces, keys = _decode_workspaces(spec.get('tenants') or [])
     return RoutingTable(
--- a/src/dykemast/_internal/platform/endpoints.py
+++ b/src/dykemast/_internal/platform/endpoints.py
@@ -1,7 +1,14 @@
 """Addresses in the platform's texts."""
 
+import ipaddress
+import re
+from typing import Final
+
 from dykemast._internal.models.deployment import Endpoint
 
+_PORT: Final = re.compile('[0-9]{1,5}')
+_MAX_PORT: Final = 65535
+
 
 def decode_endpoint(text: str) -> Endpoint:
     """Decode ``IP:PORT``.
@@ -10,7 +17,8 @@
     :returns: the endpoint.
     :raises ValueError: when it is none.
     """
-    host, _, port = text.rpartition(':')
-    if not host:
+    host, _, digits = text.rpartition(':')
+    ipaddress.IPv4Address(host)
+    if not _PORT.fullmatch(digits) or not 0 < int(digits) <= _MAX_PORT:
         raise ValueError(f'{text!r} is not IP:PORT')
-    return Endpoint(host, int(port))
+    return Endpoint(host, int(digits))
--- a/src/dykemast/_internal/platform/objects.py
+++ b/src/dykemast/_internal/platform/objects.py
@@ -1,13 +1,15 @@
 """Client of the platform's object store."""
 
 from typing import Final
+from urllib.parse import quote
 
-from dykemast._internal.exceptions import HistoryLostError
+from dykemast._internal.exceptions import HistoryLostError, PlatformError
 from dykemast._internal.network.platform_session import Answer, PlatformSession
-from dykemast._internal.platform import store_codec
+from dykemast._internal.platform import store_codec, store_pages
 from dykemast._internal.platform.store_types import (
     Changes,
     Listing,
+    Page,
     StoreObject,
 )
 
@@ -36,13 +38,13 @@
         :raises PlatformError: when it failed.
         """
         path = f'/objects/{kind}'
-        page = store_codec.decode_page(await self._call('GET', path))
+        page = store_pages.decode_page(await self._call('GET', path))
         listing = page.listing
         while page.more:
+            last = _find_last(page)
             # This field takes the name to continue after, not a revision.
-            last = listing.found[-1].name
             answer = await self._call('GET', f'{path}?afterRevision={last}')
-            page = store_codec.decode_page(answer)
+            page = store_pages.decode_page(answer)
             listing.found.extend(page.listing.found)
         return listing
 
@@ -57,7 +59,7 @@
         answer = await self._call('GET', f'/objects/{kind}/{name}')
         if answer.status == store_codec.NOT_FOUND:
             return StoreObject(name, 0, None)
-        return store_codec.decode_object(store_codec.decode(answer))
+        return store_codec.decode_object(store_codec.check_done(answer))
 
     async def write(self, kind: str, stored: StoreObject) -> StoreObject:
         """Write an object if it still has its revision.
@@ -87,7 +89,7 @@
         """
         answer = await self._call('DELETE', f'/objects/{kind}/{name}')
         if answer.status != store_codec.NOT_FOUND:
-            store_codec.decode(answer)
+            store_codec.check_done(answer)
 
     async def watch(self, kind: str, revision: int) -> Changes:
         """Wait for changes of a kind.
@@ -103,7 +105,7 @@
         answer = await self._call('GET', path, wait=WATCH_TIMEOUT)
         if answer.status == store_codec.GONE:
             raise HistoryLostError(f'history of {kind} is gone.')
-        return store_codec.decode_changes(answer)
+        return store_pages.decode_changes(answer)
 
     async def _call(
         self,
@@ -115,3 +117,10 @@
         kind = 'WATCH' if wait else method
         self.calls[kind] = self.calls.get(kind, 0) + 1
         return await self._session.call(method, path, body, wait)
+
+
+def _find_last(page: Page) -> str:
+    """Find the name after which the next page begins."""
+    if not page.listing.found:
+        raise PlatformError('a whole page of the listing is not readable.')
+    return quote(page.listing.found[-1].name, safe='')
--- a/src/dykemast/_internal/platform/servers.py
+++ b/src/dykemast/_internal/platform/servers.py
@@ -1,28 +1,67 @@
 """Entries of backend servers in the store."""
 
-from typing import Final
+import re
+from typing import Annotated, Final, Literal, NotRequired, TypedDict
 
-from dykemast._internal.models.backend import BackendServer
+import msgspec
+
+from dykemast._internal.exceptions import NotUsableError
+from dykemast._internal.models.backend import ServerEntry
 from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.platform.endpoints import decode_endpoint
 
 #: Kind of these objects.
 SERVER_KIND: Final = 'servers'
+#: Requests at once that an entry may claim. A guard: users run servers of up
+#: to 200; one that claims far more would be sent everything.
+MAX_SLOTS: Final = 100_000
+#: Counts of heartbeats and of milliseconds, far beyond any that are true.
+MAX_COUNT: Final = 1_000_000_000_000_000
+#: Ids go into a header field of each send, so they are visible characters.
+_ID: Final = re.compile('[!-~]{1,200}')
+_MAX_WORD: Final = 200
+_READY: Final = 'ready'
+
+_Word = Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_WORD)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
+
+class _Fields(TypedDict):
+    """What an entry has to hold, and what may be in it besides."""
 
+    service: _Word
+    address: _Word
+    zone: _Word
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: Literal['ready', 'draining']
+    sequence: NotRequired[_Count]
+    born: NotRequired[_Count]
 
-def decode_server(stored: StoreObject) -> BackendServer:
+
+def decode_server(stored: StoreObject) -> ServerEntry:
     """Decode a backend server's entry.
 
     :param stored: the object; its name is the server's id.
-    :returns: the backend server.
-    :raises KeyError, TypeError, ValueError: when it makes no sense.
+    :returns: the entry.
+    :raises NotUsableError: when it names no server to use.
     """
-    spec = stored.spec
-    return BackendServer(
-        name=stored.name,
-        service=spec['service'],
-        endpoint=decode_endpoint(spec['address']),
-        hall=spec['zone'],
-        slots=int(spec['slots']),
-        leaving=spec['state'] != 'ready',
+    if not _ID.fullmatch(stored.name):
+        raise NotUsableError('the id is no word of visible characters.')
+    try:
+        return _decode(stored)
+    except ValueError as error:
+        raise NotUsableError(f'the entry makes no sense: {error}') from error
+
+
+def _decode(stored: StoreObject) -> ServerEntry:
+    fields = msgspec.convert(stored.spec, _Fields)
+    return ServerEntry(
+        server_id=stored.name,
+        service=fields['service'],
+        endpoint=decode_endpoint(fields['address']),
+        hall=fields['zone'],
+        slots=fields['slots'],
+        leaving=fields['state'] != _READY,
+        born=fields.get('born'),
+        sequence=fields.get('sequence'),
     )
--- a/src/dykemast/_internal/platform/store_codec.py
+++ b/src/dykemast/_internal/platform/store_codec.py
@@ -1,4 +1,4 @@
-"""Bodies of the platform's object store."""
+"""Bodies of the platform's object store: single objects."""
 
 from typing import Any, Final
 
@@ -10,13 +10,8 @@
     VersionConflictError,
 )
 from dykemast._internal.network.platform_session import Answer
-from dykemast._internal.platform.store_types import (
-    Changes,
-    Event,
-    Listing,
-    Page,
-    StoreObject,
-)
+from dykemast._internal.platform.store_items import decode_item
+from dykemast._internal.platform.store_types import StoreObject
 
 NOT_FOUND: Final = 404
 GONE: Final = 410
@@ -38,20 +33,17 @@
     return msgspec.json.encode({'metadata': metadata, 'spec': stored.spec})
 
 
-def decode_object(fields: Any) -> StoreObject:
+def decode_object(body: bytes) -> StoreObject:
     """Read an object.
 
-    :param fields: as the store wrote it.
+    :param body: as the store wrote it.
     :returns: the object.
-    :raises PlatformError: when it makes no sense.
+    :raises PlatformError: when it does not tell its name and revision.
     """
-    try:
-        metadata = fields['metadata']
-    except (KeyError, TypeError) as error:
-        raise PlatformError(f'not an object: {error}') from error
-    return StoreObject(
-        metadata['name'], metadata['revision'], fields.get('spec')
-    )
+    stored = decode_item(body)
+    if stored is None:
+        raise PlatformError('the store sent something that is no object.')
+    return stored
 
 
 def decode_written(answer: Answer) -> StoreObject:
@@ -64,57 +56,18 @@
     """
     if answer.status == _CONFLICT:
         text = 'the object has another revision.'
-        fields = _decode_json(answer.body) if answer.body else {}
-        current = decode_object(fields) if 'metadata' in fields else None
-        raise VersionConflictError(text, current)
-    return decode_object(decode(answer))
+        raise VersionConflictError(text, decode_item(answer.body))
+    return decode_object(check_done(answer))
 
 
-def decode_page(answer: Answer) -> Page:
-    """Read one page of a listing.
+def check_done(answer: Answer) -> bytes:
+    """Check that a call was carried out.
 
     :param answer: the answer.
-    :returns: the page.
+    :returns: its body.
     :raises PlatformError: when the call failed.
     """
-    fields = decode(answer)
-    found = [decode_object(one) for one in fields['items']]
-    listing = Listing(found, fields['storeRevision'])
-    return Page(listing, bool(fields.get('morePages')))
-
-
-def decode_changes(answer: Answer) -> Changes:
-    """Read the answer to a watch.
-
-    :param answer: the answer.
-    :returns: the changes.
-    :raises PlatformError: when the watch failed.
-    """
-    fields = decode(answer)
-    events = [
-        Event(decode_object(one['object']), bool(one['removed']))
-        for one in fields['events']
-    ]
-    return Changes(events, fields['storeRevision'])
-
-
-def decode(answer: Answer) -> Any:
-    """Read an answer.
-
-    :param answer: the answer.
-    :returns: its JSON document.
-    :raises PlatformError: when the call failed, or the body is none.
-    """
     if answer.status not in _DONE:
         text = f'the store answered {answer.status}.'
         raise PlatformAwayError(text, refused=answer.status in _REFUSED)
-    return _decode_json(answer.body)
-
-
-def _decode_json(body: bytes) -> Any:
-    try:
-        return msgspec.json.decode(body)
-    except msgspec.MsgspecError as error:
-        raise PlatformError(
-            f'the store sent something else: {error}'
-        ) from error
+    return answer.body
--- a/src/dykemast/_internal/serving/knowledge/configuration.py
+++ b/src/dykemast/_internal/serving/knowledge/configuration.py
@@ -19,7 +19,6 @@
 
 #: Seconds in which changes gather; users allow 2 s until one is in force.
 WATCH_PAUSE: Final = 0.2
-_NOT_USABLE: Final = (KeyError, TypeError, ValueError, NotUsableError)
 
 
 def make_follower(board: ServingBoard) -> Follower:
@@ -34,7 +33,7 @@
             take_configuration(board, stored, 'store')
 
     def ignore(_: object) -> None:
-        """Keep a configuration in force that is gone from the store."""
+        """Keep a configuration in force that is gone, or not usable now."""
 
     def note_revision(revision: int) -> None:
         board.revisions[CONFIGURATION_KIND] = revision
@@ -44,6 +43,7 @@
         take_object,
         ignore,
         ignore,
+        ignore,
         note_revision,
         WATCH_PAUSE,
     )
@@ -59,7 +59,7 @@
     :param board: the blackboard.
     :param stored: the object that holds it.
     :param source: where it came from.
-    :raises KeyError, TypeError, ValueError: when it makes no sense.
+    :raises NotUsableError: when it makes no sense.
     """
     table = decode_configuration(stored)
     before = board.count_version()
@@ -91,7 +91,7 @@
     """
     try:
         _decode_and_take(board, body, peer)
-    except _NOT_USABLE as error:
+    except NotUsableError as error:
         _log('configuration_not_usable', peer=peer, reason=str(error))
 
 
--- a/src/dykemast/_internal/serving/knowledge/follower.py
+++ b/src/dykemast/_internal/serving/knowledge/follower.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from dykemast._internal.exceptions import NotUsableError
 from dykemast._internal.platform.store_types import (
     Changes,
     Listing,
@@ -20,6 +21,8 @@
     :param take_object: called for each object that is new or changed.
     :param take_names: called with the names of all objects after a listing.
     :param drop_object: called with the name of an object that is gone.
+    :param drop_unusable: called with the name of an object that makes no
+        sense (any more).
     :param note_revision: called with the store's revision up to which all
         changes have been taken.
     :param pause: seconds after an answer of a watch in which further changes
@@ -30,6 +33,7 @@
     take_object: Callable[[StoreObject], None]
     take_names: Callable[[set[str]], None]
     drop_object: Callable[[str], None]
+    drop_unusable: Callable[[str], None]
     note_revision: Callable[[int], None]
     pause: float = 0
 
@@ -63,12 +67,12 @@
 def _take(follower: Follower, stored: StoreObject) -> None:
     try:
         follower.take_object(stored)
-    except (KeyError, TypeError, ValueError) as error:
-        # The state before stays in force.
+    except NotUsableError as error:
         _log(
             'object_not_usable',
             kind=follower.kind,
             name=stored.name,
             revision=stored.revision,
-            reason=f'{type(error).__name__}: {error}',
+            reason=str(error),
         )
+        follower.drop_unusable(stored.name)
--- /dev/null
+++ b/src/dykemast/_internal/serving/knowledge/server_entries.py
@@ -0,0 +1,65 @@
+"""Follow the entries of backend servers."""
+
+from typing import Final
+
+from dykemast._internal.models.backend import BackendServer
+from dykemast._internal.models.news import ListState
+from dykemast._internal.operations.server_starts import name_start
+from dykemast._internal.platform.servers import SERVER_KIND, decode_server
+from dykemast._internal.platform.store_types import StoreObject
+from dykemast._internal.serving.knowledge.backends import (
+    drop_server,
+    forget_server,
+    take_server,
+)
+from dykemast._internal.serving.knowledge.follower import Follower
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.utils.digests import digest_texts
+
+#: Seconds in which changes of servers gather; a leaving one may get requests
+#: for 2 s.
+WATCH_PAUSE: Final = 0.3
+
+
+def make_follower(board: ServingBoard) -> Follower:
+    """Make what follows the entries of backend servers.
+
+    :param board: the blackboard.
+    :returns: the follower.
+    """
+
+    def take_object(stored: StoreObject) -> None:
+        entry = decode_server(stored)
+        before = board.server_starts.get(stored.name)
+        name = name_start(entry, stored.revision, before)
+        take_server(board, BackendServer(name, entry))
+        board.server_objects[stored.name] = stored
+
+    def drop_object(server_id: str) -> None:
+        if board.server_objects.pop(server_id, None):
+            drop_server(board, board.server_starts[server_id].name)
+
+    def drop_unusable(server_id: str) -> None:
+        if board.server_objects.pop(server_id, None):
+            # Something else stands where its entry was, so it did not lapse.
+            forget_server(board, board.server_starts[server_id].name)
+
+    def take_names(names: set[str]) -> None:
+        for server_id in set(board.server_objects) - names:
+            drop_object(server_id)
+
+    def note_revision(revision: int) -> None:
+        board.revisions[SERVER_KIND] = revision
+        entries = board.server_objects.values()
+        digest = digest_texts(f'{one.name}:{one.revision}' for one in entries)
+        board.server_state = ListState(revision, digest)
+
+    return Follower(
+        SERVER_KIND,
+        take_object,
+        take_names,
+        drop_object,
+        drop_unusable,
+        note_revision,
+        WATCH_PAUSE,
+    )
--- a/src/dykemast/_internal/serving/members/members.py
+++ b/src/dykemast/_internal/serving/members/members.py
@@ -7,10 +7,12 @@
 import msgspec
 
 from dykemast._internal.exceptions import (
+    NotUsableError,
     PlatformError,
     VersionConflictError,
 )
 from dykemast._internal.models.fleet import PeerCard
+from dykemast._internal.platform.member_cards import decode_card
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.serving.state.board import Peer, ServingBoard
@@ -45,7 +47,7 @@
         await asyncio.sleep(RETRY_PAUSE)
     pause = START_PAUSE
     while True:
-        await _try(_read_peers(board, store))
+        await _try(read_peers(board, store))
         await asyncio.sleep(pause)
         pause = max(READ_PAUSE, READ_PAUSE_PER_PEER * len(board.peers))
 
@@ -85,10 +87,16 @@
         await store.write(MEMBER_KIND, before._replace(spec=entry.spec))
 
 
-async def _read_peers(board: ServingBoard, store: ObjectStore) -> None:
+async def read_peers(board: ServingBoard, store: ObjectStore) -> None:
+    """Read which routers are listed, and forget those that are not.
+
+    :param board: the blackboard.
+    :param store: the object store.
+    :raises PlatformError: when it failed.
+    """
     listing = await store.list_kind(MEMBER_KIND)
     for stored in listing.found:
-        meet_peer(board, msgspec.convert(stored.spec, PeerCard))
+        _meet_listed(board, stored)
     board.peers_read.set()
     listed = {one.name for one in listing.found}
     if board.settings.name not in listed and not board.stopping:
@@ -99,10 +107,17 @@
         _log('peer_gone', peer=name)
 
 
+def _meet_listed(board: ServingBoard, stored: StoreObject) -> None:
+    try:
+        meet_peer(board, decode_card(stored))
+    except NotUsableError as error:
+        _log('member_not_usable', name=stored.name, reason=str(error))
+
+
 async def _try(work: Coroutine[Any, Any, None]) -> bool:
     try:
         await work
-    except (PlatformError, msgspec.ValidationError) as error:
+    except PlatformError as error:
         _log('members_not_read', reason=str(error))
         return False
     return True
--- a/src/dykemast/_internal/serving/process/description.py
+++ b/src/dykemast/_internal/serving/process/description.py
@@ -22,6 +22,8 @@
         'servers': len(board.servers),
         'peers_heard': sum(1 for _ in list_heard(board)),
         'store_away_s': round(now - away, 1) if away else 0,
+        'loop_failures': board.loops.failures,
+        'loops_failing': len(board.loops.list_failing(now)),
         'loop_late_s': round(board.watch.measure_lateness(now), 3),
         **_describe_ages(board),
     }
--- a/src/dykemast/_internal/serving/process/entry.py
+++ b/src/dykemast/_internal/serving/process/entry.py
@@ -1,6 +1,7 @@
 """Answers that are not requests of a route: entry, readiness, metrics."""
 
 import random
+import time
 from typing import Any, Final
 
 from dykemast._internal.models.deployment import Endpoint
@@ -61,10 +62,14 @@
 def is_ready(board: ServingBoard) -> bool:
     """Tell whether this router takes requests.
 
+    One in which a loop fails each time may serve by what is no longer so.
+
     :param board: the blackboard.
     :returns: whether it does.
     """
-    return board.table is not None and not board.stopping
+    if board.table is None or board.stopping:
+        return False
+    return not board.loops.list_failing(time.monotonic())
 
 
 async def _answer_entry(
--- a/src/dykemast/_internal/serving/process/loops.py
+++ b/src/dykemast/_internal/serving/process/loops.py
@@ -2,24 +2,32 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
-from typing import Any, Final
+from functools import partial
+from typing import Final
 
 from dykemast._internal.operations.loop_watch import WATCH_PAUSE
+from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.serving.choice.gone_servers import forget_gone
-from dykemast._internal.serving.knowledge import backends, configuration
+from dykemast._internal.serving.knowledge import (
+    backends,
+    configuration,
+    server_entries,
+)
 from dykemast._internal.serving.members import gossip, members
 from dykemast._internal.serving.tokens import budget_upkeep
 from dykemast._internal.serving.process.assembly import Assembly
 from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.state.supervision import Loop, start_loops
 from dykemast._internal.serving.process.description import describe_state
+from dykemast._internal.serving.knowledge.follower import Follower
 from dykemast._internal.serving.knowledge.followers import follow_kind
 from dykemast._internal.serving.knowledge.freshness import (
     Checked,
     keep_fresh,
     tell_ages,
 )
-from dykemast._internal.utils.events import make_logger
+from dykemast._internal.serving.process.reload import follow_settings
+from dykemast._internal.utils.events import LineHandler, make_logger
 
 _log = make_logger('router')
 
@@ -35,35 +43,81 @@
 TOLD_LATENESS: Final = 0.15
 LATE_PAUSE: Final = 1.0
 
-Loop = Coroutine[Any, Any, None]
+
+def start_first_loops(
+    board: ServingBoard,
+    lines: LineHandler,
+) -> list[asyncio.Task[None]]:
+    """Start the loops that run before the program has any parts.
+
+    :param board: the blackboard.
+    :param lines: log lines to be written.
+    :returns: their tasks.
+    """
+    first = (
+        Loop('write_lines', lines.write_lines),
+        Loop('follow_settings', partial(follow_settings, board)),
+    )
+    return start_loops(first, board.loops)
 
 
 def list_loops(assembly: Assembly) -> list[Loop]:
     """List the loops of the program.
 
     :param assembly: its parts.
-    :returns: the loops, not yet started.
+    :returns: the loops; none runs yet.
     """
     board = assembly.parts.board
     store = assembly.upkeep.store
     tables = configuration.make_follower(board)
-    servers = backends.make_follower(board)
+    servers = server_entries.make_follower(board)
+    checked = (
+        Checked(tables, CONFIGURATION_AGE),
+        Checked(servers, SERVERS_AGE),
+    )
     return [
-        keep_fresh(board, store, Checked(tables, CONFIGURATION_AGE)),
-        keep_fresh(board, store, Checked(servers, SERVERS_AGE)),
-        follow_kind(board, store, tables),
-        follow_kind(board, store, servers),
-        backends.forget_lapsed(board),
-        forget_gone(assembly.parts),
-        members.keep_listed(board, store),
-        gossip.spread_news(board, assembly.links.gossip),
-        budget_upkeep.follow_table(assembly.upkeep),
-        budget_upkeep.review_rows(assembly.upkeep),
-        _watch_loop(board),
-        _log_state(assembly),
+        *(_make_read_loop(board, store, one) for one in checked),
+        *(_make_watch_loop(board, store, one.follower) for one in checked),
+        Loop('forget_lapsed', partial(backends.forget_lapsed, board)),
+        Loop('forget_gone', partial(forget_gone, assembly.parts)),
+        Loop('keep_listed', partial(members.keep_listed, board, store)),
+        Loop(
+            'spread_news',
+            partial(gossip.spread_news, board, assembly.links.gossip),
+        ),
+        Loop(
+            'follow_table',
+            partial(budget_upkeep.follow_table, assembly.upkeep),
+        ),
+        Loop(
+            'review_rows',
+            partial(budget_upkeep.review_rows, assembly.upkeep),
+        ),
+        Loop('watch_loop', partial(_watch_loop, board)),
+        Loop('log_state', partial(_log_state, assembly)),
     ]
 
 
+def _make_read_loop(
+    board: ServingBoard,
+    store: ObjectStore,
+    checked: Checked,
+) -> Loop:
+    kind = checked.follower.kind
+    return Loop(
+        f'keep_fresh:{kind}', partial(keep_fresh, board, store, checked)
+    )
+
+
+def _make_watch_loop(
+    board: ServingBoard,
+    store: ObjectStore,
+    follower: Follower,
+) -> Loop:
+    name = f'follow_kind:{follower.kind}'
+    return Loop(name, partial(follow_kind, board, store, follower))
+
+
 async def _watch_loop(board: ServingBoard) -> None:
     told_at = float()
     while True:
--- a/src/dykemast/_internal/serving/process/runtime.py
+++ b/src/dykemast/_internal/serving/process/runtime.py
@@ -10,6 +10,7 @@
 from dykemast._internal.serving.process import application, entry, loops
 from dykemast._internal.serving.process.assembly import Assembly, assemble
 from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.state.supervision import start_loops
 from dykemast._internal.serving.parts import Parts
 
 #: Connections that wait to be accepted.
@@ -43,7 +44,7 @@
     peer_server = await peer_calls.open_peer_server(
         board, assembly.links.peer_news, parts.budgets.lend
     )
-    tasks = [asyncio.create_task(loop) for loop in loops.list_loops(assembly)]
+    tasks = start_loops(loops.list_loops(assembly), board.loops)
     listeners = await _open_listeners(parts)
     return Runtime(assembly, peer_server, listeners, tasks)
 
--- a/src/dykemast/_internal/serving/state/board.py
+++ b/src/dykemast/_internal/serving/state/board.py
@@ -13,6 +13,7 @@
 from dykemast._internal.models.routing_table import RoutingTable
 from dykemast._internal.operations import (
     demand,
+    loop_health,
     loop_watch,
     planned_stop,
     route_times,
@@ -64,13 +65,15 @@
         told of; ``serving.gossip``.
     :param revisions: of the store, by kind, up to which changes are known;
         ``serving.configuration`` and ``serving.backends``.
-    :param servers: backend servers by id; ``serving.backends``.
+    :param servers: backend servers by the name of their start;
+        ``serving.backends``.
+    :param server_starts: the same, by id; ``serving.backends``.
     :param server_objects: their entries as the store holds them, by id;
         ``serving.backends``.
     :param server_state: how far these are known; ``serving.backends``.
     :param lapsed: seconds until which a server stays whose entry lapsed
-        while the store was away, by id; ``serving.backends``.
-    :param leaving: ids of servers that are leaving; only ever grows while
+        while the store was away, by name; ``serving.backends``.
+    :param leaving: names of servers that are leaving; only ever grows while
         they are listed; ``serving.backends`` and ``serving.gossip``.
     :param peers: other routers by instance; ``serving.members`` adds and
         removes them, ``serving.gossip`` hears from them.
@@ -89,6 +92,7 @@
     :param tasks: those of requests that were let in;
         ``serving.application``.
     :param watch: when the event loop ran; ``serving.loops``.
+    :param loops: which loops failed; ``serving.supervision``.
     """
 
     settings: InstanceSettings
@@ -103,6 +107,9 @@
     heard_version: int = 0
     revisions: dict[str, int] = dataclasses.field(default_factory=dict)
     servers: dict[str, BackendServer] = dataclasses.field(default_factory=dict)
+    server_starts: dict[str, BackendServer] = dataclasses.field(
+        default_factory=dict
+    )
     server_objects: dict[str, StoreObject] = dataclasses.field(
         default_factory=dict
     )
@@ -125,6 +132,9 @@
     watch: loop_watch.LoopWatch = dataclasses.field(
         default_factory=lambda: loop_watch.LoopWatch(time.monotonic())
     )
+    loops: loop_health.LoopHealth = dataclasses.field(
+        default_factory=loop_health.LoopHealth
+    )
 
     def count_version(self) -> int:
         """Tell the version of the configuration in force.
--- a/src/dykemast/_internal/serving/tokens/accounts.py
+++ b/src/dykemast/_internal/serving/tokens/accounts.py
@@ -5,8 +5,6 @@
 import time
 from typing import Any, Final
 
-import msgspec
-
 from dykemast._internal.models.budget_ledger import BudgetLedger
 from dykemast._internal.operations import ledger_rows, spare_size
 from dykemast._internal.operations.allowance import Allowance
@@ -19,6 +17,10 @@
 from dykemast._internal.operations.demand import Demand
 from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.serving.tokens.holds import NEVER, Shortage
+from dykemast._internal.serving.tokens.ledger_objects import (
+    decode_ledger,
+    encode_ledger,
+)
 
 #: Kind of the objects that hold the budgets.
 BUDGET_KIND: Final = 'dykemast-budgets'
@@ -98,11 +100,14 @@
 
         :param stored: the object, with revision 0 when there is none; None
             when it has to be read before it is written again.
+        :raises BudgetNotUsableError: when it makes no sense; what was known
+            stays, and is not written over it.
         """
-        self.stored = stored
+        self.stored = None
         if stored:
-            self.ledger = _decode_ledger(stored)
+            self.ledger = decode_ledger(stored)
             self.seen_at = time.monotonic()
+        self.stored = stored
 
     def plan(self, terms: Terms, *, spare: bool) -> StoreObject:
         """Plan the next write, and obey it from now on.
@@ -122,9 +127,7 @@
         row = planned.rows[self.identity.incarnation]
         self.allowance.expect_limit(row.limit)
         revision = self.stored.revision if self.stored else 0
-        return StoreObject(
-            self.workspace, revision, msgspec.to_builtins(planned)
-        )
+        return encode_ledger(self.workspace, revision, planned)
 
     def take_written(self, written: StoreObject) -> None:
         """Use what the store has confirmed.
@@ -157,9 +160,3 @@
     """
     before = account.lent_to.get(borrower, 0)
     account.lent_to[borrower] = before + tokens
-
-
-def _decode_ledger(stored: StoreObject) -> BudgetLedger | None:
-    if not stored.revision:
-        return None
-    return msgspec.convert(stored.spec, BudgetLedger)
--- a/src/dykemast/_internal/serving/tokens/ledger_writer.py
+++ b/src/dykemast/_internal/serving/tokens/ledger_writer.py
@@ -4,6 +4,7 @@
 from typing import Any, Final
 
 from dykemast._internal.exceptions import (
+    BudgetNotUsableError,
     ContendedError,
     PlatformError,
     VersionConflictError,
@@ -82,6 +83,15 @@
                 workspace=account.workspace,
                 reason=str(error),
             )
+        except BudgetNotUsableError as error:
+            # No other budget waits for it.
+            account.see(None)
+            self.is_away = False
+            _log(
+                'budget_not_usable',
+                workspace=account.workspace,
+                reason=str(error),
+            )
         except PlatformError as error:
             account.see(None)
             self.is_away = True
--- a/src/dykemast/_internal/serving/tokens/old_rows.py
+++ b/src/dykemast/_internal/serving/tokens/old_rows.py
@@ -2,8 +2,12 @@
 
 from typing import NamedTuple
 
-from dykemast._internal.exceptions import PlatformError
+from dykemast._internal.exceptions import (
+    BudgetNotUsableError,
+    PlatformError,
+)
 from dykemast._internal.platform.objects import ObjectStore
+from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.serving.tokens.accounts import BUDGET_KIND
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.tokens.budgets import Budgets
@@ -43,8 +47,15 @@
         _log('rows_not_closed', reason=str(error))
         return
     for stored in listing.found:
-        account = upkeep.budgets.open_account(stored.name)
-        account.see(stored)
-        rows = account.ledger.rows.values() if account.ledger else ()
-        if upkeep.board.settings.name in {row.instance for row in rows}:
-            upkeep.search.start(account, upkeep.writer.write(account))
+        try:
+            _close_row(upkeep, stored)
+        except BudgetNotUsableError as error:
+            _log('budget_not_usable', workspace=stored.name, reason=str(error))
+
+
+def _close_row(upkeep: Upkeep, stored: StoreObject) -> None:
+    account = upkeep.budgets.open_account(stored.name)
+    account.see(stored)
+    rows = account.ledger.rows.values() if account.ledger else ()
+    if upkeep.board.settings.name in {row.instance for row in rows}:
+        upkeep.search.start(account, upkeep.writer.write(account))
--- a/tests/lib/object_store.py
+++ b/tests/lib/object_store.py
@@ -3,7 +3,9 @@
 ``python -m tests.lib.object_store --port N``. ``POST /control`` sets faults:
 ``latency`` (s), ``away`` (503 to all), ``silent`` (no answer), ``lose``
 (writes that are done and not answered), ``late`` (s after which such writes
-are done), ``deaf`` (watches hear nothing) and ``forget`` (drop the history).
+are done), ``deaf`` (watches hear nothing), ``forget`` (drop the history) and
+``raw`` (text, with bytes as surrogates, that stands in each listing of
+backend servers as one more item).
 """
 
 import asyncio
@@ -38,6 +40,7 @@
             'lose': 0,
             'late': 0,
             'deaf': False,
+            'raw': '',
         }
 
     def put(self, kind: str, name: str, spec: Any) -> dict:
@@ -144,13 +147,25 @@
     after = request.query_params.get('afterRevision', '')
     found = store.kinds.get(kind, {})
     names = sorted(name for name in found if name > after)
-    return JSONResponse(
-        {
-            'items': [found[name] for name in names[:PAGE]],
-            'morePages': len(names) > PAGE,
-            'storeRevision': store.revision,
-        }
-    )
+    return _make_page(kind, names)
+
+
+def _make_page(kind: str, names: list[str]) -> Response:
+    page = {
+        'items': [store.kinds[kind][name] for name in names[:PAGE]],
+        'morePages': len(names) > PAGE,
+        'storeRevision': store.revision,
+    }
+    body = _add_raw(kind, json.dumps(page))
+    return Response(body, media_type='application/json')
+
+
+def _add_raw(kind: str, page: str) -> bytes:
+    raw = store.faults['raw']
+    if raw and kind == 'servers':
+        start = '{"items": ['
+        page = page.replace(start, f'{start}{raw}, ', 1)
+    return page.encode('utf-8', 'surrogateescape')
 
 
 async def _watch(kind: str, request: Request) -> Response:
--- /dev/null
+++ b/tests/unit/test_foreign_entries.py
@@ -0,0 +1,242 @@
+"""What stands in the store and names no server costs nobody else anything.
+
+A page was read as a whole and its objects by the names of their fields, so
+that one address that was a number, one item without a name or one text that
+was not UTF-8 ended the reading of all servers (503 to six of six requests).
+Valid entries are the oracle here: whatever is put beside them, they are all
+taken, and nothing else is.
+"""
+
+import json
+from types import MappingProxyType
+from typing import Any, Final
+
+from hypothesis import given, strategies
+
+from dykemast._internal.exceptions import HistoryLostError, PlatformError
+from dykemast._internal.network.platform_session import Answer
+from dykemast._internal.platform import store_codec, store_pages
+from dykemast._internal.platform.json_members import split_members
+from dykemast._internal.platform.store_types import Listing, StoreObject
+from dykemast._internal.serving.knowledge.follower import (
+    take_changes,
+    take_listing,
+)
+from dykemast._internal.serving.knowledge.server_entries import make_follower
+from tests.lib.serving_boards import make_board
+
+VALID: Final = MappingProxyType(
+    {
+        'service': 'lm',
+        'address': '127.0.0.1:9',
+        'zone': 'north',
+        'version': 'v1',
+        'slots': 4,
+        'state': 'ready',
+        'coldLeftMs': 0,
+        'sequence': 3,
+        'born': 1_700_000_000_000,
+    }
+)
+#: Of each field, what it may not hold; None for the field left out.
+MISFITS: Final = MappingProxyType(
+    {
+        'service': (None, '', 5, [], {}, 'x' * 500),
+        'address': (
+            None,
+            5,
+            ['127.0.0.1:9'],
+            '127.0.0.1',
+            '127.0.0.1:',
+            '127.0.0.1:0',
+            '127.0.0.1:65536',
+            '127.0.0.1:-9',
+            '127.0.0.1:9 ',
+            '127.0.0.1:٩',
+            ' 127.0.0.1:9',
+            'host name:9',
+            'example.org:9',
+            '::1:9',
+        ),
+        'zone': (None, '', 7, {}),
+        'slots': (None, '4', True, 0, -1, 1.5, 10**30, [4]),
+        'state': (None, 'sleeping', True, 1),
+        'sequence': ('3', -1, 1.5, []),
+        'born': ('1', 1.5, -1, True, {}, 10**30),
+    }
+)
+#: Items that are no object of a store.
+RAW_ITEMS = (
+    b'5',
+    b'null',
+    b'"text"',
+    b'[]',
+    b'{}',
+    b'{"metadata": {}}',
+    b'{"metadata": {"name": 5, "revision": 1}, "spec": {}}',
+    b'{"metadata": {"name": "raw", "revision": "1"}, "spec": {}}',
+    b'{"metadata": {"name": "raw", "revision": 1}, "spec": "\xff"}',
+    b'{"metadata": {"name": "raw", "revision": 1}, "spec": NaN}',
+    b'{"metadata": {"name": "raw", "revision": 1}, "spec": {"a": \x01}}',
+    b'{"metadata": {"name": "raw", "revision": 1}, "spec": "a\x01b"}',
+    rb'{"a": "\x"}',
+    b'\xff\xfe',
+    b'%b%b' % (b'[' * 5000, b']' * 5000),
+    b'%b1%b' % (b'{"a":' * 5000, b'}' * 5000),
+    b'9' * 6000,
+)
+
+
+def encode_entry(name: str, spec: Any) -> bytes:
+    metadata = {'name': name, 'revision': 1}
+    return json.dumps(
+        {'metadata': metadata, 'spec': spec}, default=dict
+    ).encode()
+
+
+def join_page(members: list[bytes]) -> Answer:
+    page = b'{"storeRevision": 9, "items": [%b]}' % b', '.join(members)
+    return Answer(200, page)
+
+
+def list_taken(members: list[bytes]) -> set[str]:
+    """Read a page as a router does, and tell which ids it would use."""
+    board = make_board()
+    listing = store_pages.decode_page(join_page(members)).listing
+    take_listing(make_follower(board), listing)
+    assert set(board.server_objects) == set(board.server_starts)
+    return {server.entry.server_id for server in board.servers.values()}
+
+
+def make_misfit(field: str, misfit: Any) -> dict[str, Any]:
+    spec = {**VALID, field: misfit}
+    if misfit is None:
+        spec.pop(field)
+    return spec
+
+
+def test_each_field_that_does_not_fit_names_no_server() -> None:
+    for field, misfits in MISFITS.items():
+        for misfit in misfits:
+            foreign = encode_entry('foreign', make_misfit(field, misfit))
+            beside = [
+                encode_entry('a', VALID),
+                foreign,
+                encode_entry('b', VALID),
+            ]
+            assert list_taken(beside) == {'a', 'b'}, (field, misfit)
+
+
+def test_fields_that_may_be_left_out_are_not_asked_for() -> None:
+    for field in ('sequence', 'born', 'version', 'coldLeftMs'):
+        spec = make_misfit(field, None)
+        assert list_taken([encode_entry('a', spec)]) == {'a'}, field
+
+
+def test_names_that_fit_no_header_field_name_no_server() -> None:
+    for name in ('', 'a b', 'a\r\nb: c', 'a\0b', 'ä', 'x' * 500):
+        assert not list_taken([encode_entry(name, VALID)]), name
+
+
+def test_items_that_are_no_objects_cost_only_themselves() -> None:
+    for raw in RAW_ITEMS:
+        valid = encode_entry('a', VALID)
+        assert list_taken([raw, valid]) == {'a'}, raw[:50]
+        assert list_taken([valid, raw]) == {'a'}, raw[:50]
+
+
+@given(
+    strategies.lists(
+        strategies.one_of(
+            strategies.sampled_from(RAW_ITEMS),
+            strategies.builds(
+                lambda spec: encode_entry('any', spec),
+                strategies.recursive(
+                    strategies.none()
+                    | strategies.booleans()
+                    | strategies.integers()
+                    | strategies.text(),
+                    lambda inner: (
+                        strategies.lists(inner)
+                        | strategies.dictionaries(strategies.text(), inner)
+                    ),
+                ),
+            ),
+        ),
+        max_size=8,
+    ),
+    strategies.randoms(use_true_random=False),
+)
+def test_valid_entries_hold_beside_anything(foreign: Any, luck: Any) -> None:
+    valid = [encode_entry(name, VALID) for name in 'abc']
+    members = valid + foreign
+    luck.shuffle(members)
+    assert list_taken(members) == {'a', 'b', 'c'}
+
+
+@given(strategies.binary(max_size=60))
+def test_any_bytes_as_a_body_are_an_error_of_the_platform(body: bytes) -> None:
+    answer = Answer(200, body)
+    for decode in (store_pages.decode_page, store_pages.decode_changes):
+        try:
+            decode(answer)
+        except PlatformError as error:
+            assert str(error)
+    try:
+        store_codec.decode_object(body)
+    except PlatformError as error:
+        assert str(error)
+
+
+@given(
+    strategies.recursive(
+        strategies.none() | strategies.integers() | strategies.text(),
+        lambda inner: (
+            strategies.lists(inner)
+            | strategies.dictionaries(strategies.text(), inner)
+        ),
+    )
+)
+def test_members_are_those_that_a_reader_finds(document: Any) -> None:
+    members = split_members(json.dumps([document, 1, document]).encode())
+    assert [json.loads(one) for one in members] == [document, 1, document]
+
+
+def test_an_entry_that_becomes_unusable_names_no_server_at_once() -> None:
+    # It has not lapsed while the store was away: something stands there.
+    board = make_board()
+    follower = make_follower(board)
+    valid = [StoreObject(name, 1, VALID) for name in 'ab']
+    take_listing(follower, Listing(valid, 1))
+    board.checked_at.clear()
+    foreign = StoreObject('a', 2, make_misfit('slots', '4'))
+    take_listing(follower, Listing([foreign, valid[1]], 2))
+    assert set(board.server_starts) == {'b'}
+    assert len(board.servers) == 1
+    assert not board.lapsed
+
+
+def test_a_change_that_cannot_be_read_has_the_list_read_again() -> None:
+    # Whose change it is can't be told, and the others must not be missed.
+    event = b'{"removed": false, "object": %b}'
+    body = b'{"storeRevision": 9, "events": [%b]}'
+    for raw in RAW_ITEMS[:3]:
+        answer = Answer(200, body % (event % raw))
+        try:
+            store_pages.decode_changes(answer)
+        except HistoryLostError:
+            continue
+        raise AssertionError(raw)
+
+
+def test_changes_beside_an_unusable_one_are_taken() -> None:
+    foreign = encode_entry('foreign', make_misfit('address', 5))
+    events = tuple(
+        b'{"removed": false, "object": %b}' % one
+        for one in (foreign, encode_entry('a', VALID))
+    )
+    body = b'{"storeRevision": 9, "events": [%b, %b]}' % events
+    changes = store_pages.decode_changes(Answer(200, body))
+    board = make_board()
+    take_changes(make_follower(board), changes)
+    assert set(board.server_starts) == {'a'}
--- a/tests/unit/test_members.py
+++ b/tests/unit/test_members.py
@@ -38,7 +38,7 @@
     store, board = EntryStore(), make_board()
     await members.list_self(board, store)
     await store.delete()
-    await members._read_peers(board, store)
+    await members.read_peers(board, store)
     assert set(store.entries) == {'node-0'}
 
 
--- a/tests/unit/test_server_lists.py
+++ b/tests/unit/test_server_lists.py
@@ -13,8 +13,8 @@
     LAPSE_TIME,
     forget_lapsed,
     list_usable,
-    make_follower,
 )
+from dykemast._internal.serving.knowledge.server_entries import make_follower
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.knowledge.follower import take_listing
 from dykemast._internal.serving.knowledge.followers import (
--- /dev/null
+++ b/tests/unit/test_server_starts.py
@@ -0,0 +1,126 @@
+"""A server that starts again under its id is another server.
+
+An entry that said ``draining`` and then ``ready`` with a later ``born`` left
+the server unused for good, since who is leaving stayed so while it was listed.
+All that routers keep of a server, and tell each other, is kept by its start.
+"""
+
+import time
+from types import MappingProxyType
+from typing import Any, Final
+
+from dykemast._internal.models.news import AbsentServer, ServerLoad
+from dykemast._internal.platform.store_types import Listing, StoreObject
+from dykemast._internal.serving.knowledge import server_lists
+from dykemast._internal.serving.knowledge.backends import (
+    list_usable,
+    note_leaving,
+)
+from dykemast._internal.serving.knowledge.follower import take_listing
+from dykemast._internal.serving.knowledge.server_entries import make_follower
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.state.loads import make_loads, measure_load
+from tests.lib.serving_boards import make_board, make_boards
+
+ENTRY: Final = MappingProxyType(
+    {
+        'service': 'lm',
+        'address': '127.0.0.1:9',
+        'zone': 'north',
+        'slots': 4,
+        'state': 'ready',
+    }
+)
+
+
+def read_entry(board: ServingBoard, revision: int, **fields: Any) -> None:
+    """Read a list with one server, as written at a revision."""
+    stored = StoreObject('i-1', revision, {**ENTRY, **fields})
+    take_listing(make_follower(board), Listing([stored], revision))
+
+
+def uses(board: ServingBoard, *names: str) -> bool:
+    """Tell whether just these starts take new requests."""
+    return [one.name for one in list_usable(board, 'lm')] == list(names)
+
+
+def test_a_server_born_later_is_used_though_the_earlier_one_was_leaving() -> (
+    None
+):
+    board = make_board()
+    read_entry(board, 1, born=1000, sequence=7, state='draining')
+    assert uses(board)
+    read_entry(board, 2, born=2000, sequence=1)
+    assert uses(board, 'i-1/2000')
+    assert not board.leaving
+    assert set(board.servers) == {'i-1/2000'}
+
+
+def test_a_clock_that_steps_back_does_not_make_a_start_the_older_one() -> None:
+    # The store's order decides, not what the server's clock said.
+    board = make_board()
+    read_entry(board, 1, born=9000, sequence=7, state='draining')
+    read_entry(board, 2, born=2000, sequence=1)
+    assert uses(board, 'i-1/2000')
+
+
+def test_twice_within_a_second_is_three_starts() -> None:
+    board = make_board()
+    for revision, born in enumerate((1000, 1400, 1900), start=1):
+        read_entry(board, revision, born=born, sequence=1)
+        assert uses(board, f'i-1/{born}')
+    assert len(board.servers) == 1
+
+
+def test_the_same_start_keeps_what_is_known_of_it() -> None:
+    board = make_board()
+    read_entry(board, 1, born=1000, sequence=1)
+    read_entry(board, 2, born=1000, sequence=2, state='draining')
+    read_entry(board, 3, born=1000, sequence=3)
+    assert uses(board), 'what said that it leaves does not return'
+
+
+def test_a_sequence_that_falls_back_shows_a_start_without_a_birth() -> None:
+    board = make_board()
+    read_entry(board, 1, sequence=5, state='draining')
+    read_entry(board, 2, sequence=6, state='draining')
+    assert uses(board)
+    read_entry(board, 3, sequence=1)
+    assert uses(board, 'i-1/r3')
+    read_entry(board, 4, sequence=2)
+    assert uses(board, 'i-1/r3')
+
+
+def test_word_of_an_earlier_start_changes_nothing() -> None:
+    board = make_board()
+    loads = make_loads()
+    read_entry(board, 1, born=1000)
+    now = time.monotonic()
+    read_entry(board, 2, born=2000)
+    note_leaving(board, ['i-1/1000'], 'node-1')
+    loads.absent.take([AbsentServer('i-1/1000', 4)], now)
+    loads.peers.take('node-1', (ServerLoad('i-1/1000', 9, 5000),), now)
+    assert uses(board, 'i-1/2000')
+    assert not loads.absent.is_absent('i-1/2000', now)
+    assert not measure_load(loads, 'i-1/2000', now).running
+
+
+def test_routers_that_read_at_other_times_name_a_start_alike() -> None:
+    first, second = make_boards(2)
+    read_entry(first, 1, born=1000, state='draining')
+    read_entry(first, 5, born=2000)
+    server_lists.take_from_peer(
+        second, server_lists.write_newer(first, 0), 'node-0'
+    )
+    assert uses(first, 'i-1/2000')
+    assert uses(second, 'i-1/2000')
+
+
+def test_a_start_that_lapsed_is_not_kept_beside_the_next() -> None:
+    board = make_board()
+    read_entry(board, 1, born=1000)
+    take_listing(make_follower(board), Listing([], 2))
+    assert set(board.lapsed) == {'i-1/1000'}
+    read_entry(board, 3, born=2000)
+    assert uses(board, 'i-1/2000')
+    assert not board.lapsed
--- /dev/null
+++ b/tests/unit/test_supervision.py
@@ -0,0 +1,99 @@
+"""No loop of the program ends silently.
+
+One unexpected error ended the task that read the list of servers; the router
+stayed ready for good and refused every request by what it last knew.
+"""
+
+import asyncio
+import contextlib
+import time
+
+from dykemast._internal.operations.loop_health import (
+    MAX_FAILURES,
+    MAX_PAUSE,
+    STEADY_TIME,
+    LoopHealth,
+)
+from dykemast._internal.serving.process.assembly import assemble
+from dykemast._internal.serving.process.entry import is_ready
+from dykemast._internal.serving.process.loops import list_loops
+from dykemast._internal.serving.state.supervision import Loop, supervise
+from tests.lib.serving_boards import make_board
+
+
+def test_a_loop_runs_again_after_each_end() -> None:
+    runs = []
+
+    async def fail() -> None:
+        runs.append(len(runs))
+        if len(runs) == 1:
+            raise AttributeError('an int has no attribute rpartition')
+        if len(runs) == 3:
+            await asyncio.sleep(60)
+
+    async def watch() -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(2):
+                await supervise(Loop('read', fail), health)
+
+    health = LoopHealth()
+    asyncio.run(watch())
+    assert runs == [0, 1, 2]
+    assert health.failures == 2, 'one that returns has ended as well'
+
+
+def test_a_loop_that_is_cancelled_ends() -> None:
+    async def stop() -> bool:
+        loop = Loop('wait', lambda: asyncio.sleep(60))
+        task = asyncio.create_task(supervise(loop, LoopHealth()))
+        await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait([task])
+        return task.cancelled()
+
+    assert asyncio.run(stop())
+
+
+def test_pauses_grow_and_stay_bounded() -> None:
+    health = LoopHealth()
+    pauses = [health.note_failure('read', second) for second in range(20)]
+    assert pauses == sorted(pauses)
+    assert pauses[0] < MAX_PAUSE
+    assert pauses[-1] == MAX_PAUSE
+
+
+def test_a_loop_that_fails_each_time_counts_as_failing_until_it_is_steady() -> (
+    None
+):
+    health = LoopHealth()
+    for second in range(MAX_FAILURES):
+        assert not health.list_failing(second)
+        health.note_failure('read', second)
+    assert health.list_failing(MAX_FAILURES) == ['read']
+    later = MAX_FAILURES + STEADY_TIME + MAX_PAUSE + 1
+    assert not health.list_failing(later)
+    health.note_failure('read', later)
+    assert not health.list_failing(later), 'the count begins anew'
+
+
+def test_failures_of_one_loop_do_not_count_for_another() -> None:
+    health = LoopHealth()
+    for number in range(2 * MAX_FAILURES):
+        health.note_failure(f'loop-{number}', number)
+    assert not health.list_failing(2 * MAX_FAILURES)
+
+
+def test_a_router_whose_loop_fails_is_not_ready() -> None:
+    board = make_board()
+    board.table = object()
+    assert is_ready(board)
+    for _ in range(MAX_FAILURES):
+        board.loops.note_failure('keep_fresh:servers', time.monotonic())
+    assert not is_ready(board)
+
+
+async def test_each_loop_of_the_program_has_a_name_and_is_not_running() -> None:
+    loops = list_loops(assemble(make_board()))
+    names = [loop.name for loop in loops]
+    assert len(set(names)) == len(names) == 12
+    assert all(callable(loop.run) for loop in loops)
