--- a/src/dykemast/_internal/controllers/sessions.py
+++ b/src/dykemast/_internal/controllers/sessions.py
@@ -5,6 +5,7 @@
 from dykemast._internal.models.settings import RouterSettings
 from dykemast._internal.network.backends import Backends
 from dykemast._internal.network.peer_client import PeerClient
+from dykemast._internal.network.peer_codec import peer_thrift
 from dykemast._internal.network.platform import Platform
 from dykemast._internal.network.platform_session import PlatformSession
 
@@ -40,6 +41,6 @@
     return Sessions(
         transport,
         Platform(transport),
-        PeerClient(settings['peer_key']),
+        PeerClient(settings['peer_key'], peer_thrift.Peer),
         Backends(),
     )
--- /dev/null
+++ b/src/dykemast/_internal/network/fleet_calls.py
@@ -0,0 +1,69 @@
+"""Calls between routers of a deployment, as ``fleet.thrift`` defines them.
+
+Reading the definition takes 0.06 s of processor at each start of a process,
+more than half as much as its HTTP client; so its structs are written down
+here, and a test compares them with the definition.
+"""
+
+from typing import Any
+
+from thriftpy2.thrift import TException, TPayload, TType, gen_init
+
+#: Kind and name of each word of a call, in order.
+Words = tuple[tuple[int, str], ...]
+
+
+class Refused(TException):
+    """The call was refused."""
+
+    thrift_spec = {1: (TType.STRING, 'reason', False)}  # noqa: WPS115
+    default_spec = [('reason', None)]  # noqa: WPS115
+
+
+def _make_struct(name: str, spec: dict[int, tuple[Any, ...]]) -> type:
+    names = [spec[number][1] for number in sorted(spec)]
+    made = type(name, (TPayload,), {})
+    return gen_init(made, spec, [(field, None) for field in names])
+
+
+def _make_words(name: str, words: Words) -> type:
+    """Make the struct of what a call is given."""
+    fields = enumerate(words, start=1)
+    spec = {number: (kind, word, False) for number, (kind, word) in fields}
+    return _make_struct(f'{name}_args', spec)
+
+
+def _make_answer(name: str, kind: int) -> type:
+    """Make the struct of what a call returns, or of its refusal."""
+    success = (kind, 'success', False)
+    refusal = (TType.STRUCT, 'no', Refused, False)
+    made = _make_struct(f'{name}_result', {0: success, 1: refusal})
+    made.oneway = False
+    return made
+
+
+def _add_call(name: str, answer: int, words: Words) -> None:
+    """Add a call to the service, by the conventions of the library."""
+    setattr(Fleet, f'{name}_args', _make_words(name, words))
+    setattr(Fleet, f'{name}_result', _make_answer(name, answer))
+    Fleet.thrift_services.append(name)
+
+
+class Fleet:
+    """The service that routers offer each other."""
+
+    thrift_services: list[str] = []
+
+
+_add_call('exchange', TType.BINARY, ((TType.BINARY, 'news'),))
+_add_call(
+    'lend',
+    TType.I64,
+    (
+        (TType.STRING, 'workspace'),
+        (TType.I64, 'tokens'),
+        (TType.STRING, 'borrower'),
+    ),
+)
+_add_call('newer_servers', TType.BINARY, ((TType.I64, 'above'),))
+_add_call('newer_configuration', TType.BINARY, ((TType.I64, 'above'),))
--- a/src/dykemast/_internal/network/listeners.py
+++ b/src/dykemast/_internal/network/listeners.py
@@ -6,7 +6,6 @@
 from typing import Any, Final
 
 import uvicorn
-from starlette.applications import Starlette
 
 #: Seconds after which an idle connection of a caller is closed.
 KEEP_ALIVE: Final = 30
@@ -27,7 +26,7 @@
         yield
 
 
-async def open_listener(app: Starlette, host: str, port: int) -> Listener:
+async def open_listener(app: Any, host: str, port: int) -> Listener:
     """Listen for HTTP requests.
 
     :param app: what to serve.
--- a/src/dykemast/_internal/network/peer_client.py
+++ b/src/dykemast/_internal/network/peer_client.py
@@ -13,7 +13,6 @@
 
 from dykemast._internal.exceptions import PeerError
 from dykemast._internal.models.fleet import PeerCard
-from dykemast._internal.network.peer_codec import peer_thrift
 
 #: Idle connections kept for each peer at most.
 MAX_IDLE: Final = 4
@@ -30,7 +29,7 @@
     def __init__(
         self,
         key: str | None,
-        service: Any = peer_thrift.Peer,
+        service: Any,
     ) -> None:
         """Open no connection yet."""
         self._first_words = () if key is None else (key,)
--- a/src/dykemast/_internal/network/peer_server.py
+++ b/src/dykemast/_internal/network/peer_server.py
@@ -1,17 +1,14 @@
-"""Server for calls of other routers.
-
-The library's server wants to own the loop; only its transport is used.
-"""
+"""Server for calls of other routers."""
 
 import hmac
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 import msgspec
-from thriftpy2.contrib.aio.rpc import make_server
 
 from dykemast._internal.exceptions import DykemastError
 from dykemast._internal.network.peer_codec import peer_thrift
+from dykemast._internal.network.thrift_server import listen
 
 
 class PeerCalls(NamedTuple):
@@ -65,24 +62,3 @@
     :returns: the listening server, to be closed by its ``close``.
     """
     return await listen(peer_thrift.Peer, _Guard(key, calls), host, port)
-
-
-async def listen(service: Any, calls: Any, host: str, port: int) -> Any:
-    """Serve calls of an interface definition.
-
-    :param service: the interface.
-    :param calls: has a coroutine method for each call.
-    :param host: IP number to listen on.
-    :param port: port to listen on.
-    :returns: the listening server, to be closed by its ``close``.
-    """
-    server = make_server(
-        service,
-        calls,
-        host,
-        port,
-        # Pooled connections of peers may be idle for long.
-        client_timeout=None,
-    )
-    server.trans.listen()
-    return await server.trans.accept(server.handle)
--- a/src/dykemast/_internal/serving/members/gossip.py
+++ b/src/dykemast/_internal/serving/members/gossip.py
@@ -6,8 +6,8 @@
 
 from dykemast._internal.exceptions import PeerError
 from dykemast._internal.models.fleet import PeerCard
+from dykemast._internal.network.fleet_calls import Fleet
 from dykemast._internal.network.peer_client import PeerClient
-from dykemast._internal.network.peer_codec import load_idl
 from dykemast._internal.serving.state.board import (
     Peer,
     ServingBoard,
@@ -23,8 +23,6 @@
 
 _log = make_logger('gossip')
 
-#: Calls between routers of a deployment.
-fleet_idl: Final = load_idl('fleet')
 #: Seconds to wait for a peer: links take 1 ms, a busy process some ten.
 CALL_TIMEOUT: Final = 0.4
 
@@ -40,7 +38,7 @@
         """Know nobody yet."""
         self._board = board
         self._peer_news = peer_news
-        self._client = PeerClient(None, fleet_idl.Fleet)
+        self._client = PeerClient(None, Fleet)
 
     async def call(
         self,
--- a/src/dykemast/_internal/serving/members/peer_calls.py
+++ b/src/dykemast/_internal/serving/members/peer_calls.py
@@ -3,10 +3,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
-from dykemast._internal.network.peer_server import listen
+from dykemast._internal.network.fleet_calls import Fleet
+from dykemast._internal.network.thrift_server import listen
 from dykemast._internal.serving.knowledge import server_lists
 from dykemast._internal.serving.state.board import ServingBoard
-from dykemast._internal.serving.members.gossip import fleet_idl
 from dykemast._internal.serving.members.peer_news import PeerNews
 
 Lend = Callable[[str, int, str], Awaitable[int]]
@@ -46,4 +46,4 @@
 
     endpoint = board.settings.listeners.peer
     calls = _Calls(exchange, lend, newer_configuration, newer_servers)
-    return await listen(fleet_idl.Fleet, calls, endpoint.host, endpoint.port)
+    return await listen(Fleet, calls, endpoint.host, endpoint.port)
--- a/src/dykemast/instance.py
+++ b/src/dykemast/instance.py
@@ -4,7 +4,14 @@
 whose import takes memory in each process.
 """
 
-from dykemast._internal.commands.instance import run_instance
+import os
+
+# All this program speaks is plain HTTP, and its HTTP client reads the
+# certificates of the machine when it is imported: 0.1 s of processor at each
+# start of a router, measured by the times of imports.
+os.environ['SSL_CERT_FILE'] = os.devnull
+
+from dykemast._internal.commands.instance import run_instance  # noqa: E402
 
 if __name__ == '__main__':
     run_instance()
--- a/tests/functional/test_operators.py
+++ b/tests/functional/test_operators.py
@@ -8,7 +8,7 @@
 
 from dykemast._internal.exceptions import PeerError
 from dykemast._internal.models.fleet import PeerCard
-from dykemast._internal.network.peer_client import PeerClient
+from dykemast._internal.network import peer_client, peer_codec
 from tests.lib.fixtures import make_fleet, start_fleet, wait_until
 from tools.calls import call
 from tools.files import PEER_KEY, make_configuration
@@ -16,6 +16,10 @@
 from tools.layout import HOST
 
 
+def open_client(key: str) -> peer_client.PeerClient:
+    return peer_client.PeerClient(key, peer_codec.peer_thrift.Peer)
+
+
 def submit(fleet: Fleet, base: int, name: str, router: int = 0) -> int:
     """Submit a configuration; the status when it is refused."""
     fields = {
@@ -72,13 +76,13 @@
     card = PeerCard('x', 'x', 'x', HOST, 0, router.port)
     lend = ('joinville/main', 100, 'stolen')
     asyncio.run(_call_as_stranger(card, lend))
-    lent = asyncio.run(PeerClient(PEER_KEY).call(card, 'lend', lend))
+    lent = asyncio.run(open_client(PEER_KEY).call(card, 'lend', lend))
     assert lent >= 0
 
 
 async def _call_as_stranger(card: PeerCard, words) -> None:
     try:
-        await PeerClient('a wrong secret!!').call(card, 'lend', words)
+        await open_client('a wrong secret!!').call(card, 'lend', words)
     except PeerError as error:
         assert 'Refused' in str(error)
     else:
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -8,6 +8,7 @@
 from dykemast._internal.models.revisions import Configuration, Revision
 from dykemast._internal.models.settings import RouterSettings
 from dykemast._internal.network.peer_client import PeerClient
+from dykemast._internal.network.peer_codec import peer_thrift
 from dykemast._internal.network.revision_store import RevisionStore
 from tests.lib.fake_platform import FakePlatform, drive
 from tools.files import make_settings
@@ -26,7 +27,9 @@
 def test_older_revision_never_comes_into_force() -> None:
     board = make_board()
     store = RevisionStore(FakePlatform())
-    follower = ConfigurationFollower(board, store, PeerClient('key'))
+    follower = ConfigurationFollower(
+        board, store, PeerClient('key', peer_thrift.Peer)
+    )
     for number in (1, 3, 2, 3, 1):
         follower.apply(Revision(number, f's{number}', EMPTY), 'a test')
     assert board.rules.revision.number == 3
