What a router does for the fleet's size: no look at all others in each turn

Cause, by processor time of the functions at the rates at which they run, with 195 routers: 0.32 ms to find a budget's keeper, 80 times a second, since each router opens all 40 budgets at its start and reviews them (2.5 % of a core); 0.24 ms in each of 30 exchanges a second to write down what all peers have at servers, of which 24 are passed on (0.7 %); 0.12 ms in each of 20 looks whether a read is due (0.25 %). Together 3.8 % of a core in an idle router, where 2.7 % is what control may take; 1.1 % with 30 routers.

Ruled out: caching hashes of keepers (memory in each process, for 0.05 % of a core once the review asks last).

Change: a review asks who keeps a budget only for budgets that are off their target; only what is passed on is written down; whose turn it is to read is looked up only when a read may be due, and no further than it matters.

--- a/src/dykemast/_internal/operations/peer_loads.py
+++ b/src/dykemast/_internal/operations/peer_loads.py
@@ -1,5 +1,6 @@
 """Requests that other routers have at backend servers, as they told."""
 
+import heapq
 from typing import Final, NamedTuple
 
 from dykemast._internal.models.news import RelayedLoads, ServerLoad
@@ -65,12 +66,15 @@
         :param now: seconds.
         :returns: the requests of some peers, the newest news first.
         """
-        relayed = [
-            _describe(peer, told, now) for peer, told in self._told.items()
-        ]
-        relayed.sort(key=_read_age)
-        newest = relayed[:MAX_RELAYED]
-        return tuple(one for one in newest if one.age < RELAY_AGE)
+        limit = now - RELAY_AGE
+        # Only these are written down: all of 195 routers' would take 0.23 ms
+        # in each of 30 exchanges a second.
+        newest = heapq.nlargest(MAX_RELAYED, self._told.items(), key=_read_at)
+        return tuple(
+            _describe(peer, told, now)
+            for peer, told in newest
+            if told.at > limit
+        )
 
     def measure(self, server: str, now: float) -> ServerLoad:
         """Add up the peers' requests at one server.
@@ -97,5 +101,5 @@
     return RelayedLoads(peer, age, tuple(told.by_server.values()))
 
 
-def _read_age(relayed: RelayedLoads) -> float:
-    return relayed.age
+def _read_at(told: tuple[str, _Told]) -> float:
+    return told[1].at
--- a/src/dykemast/_internal/serving/knowledge/configuration.py
+++ b/src/dykemast/_internal/serving/knowledge/configuration.py
@@ -11,7 +11,7 @@
 from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.knowledge.follower import Follower
-from dykemast._internal.serving.knowledge.freshness import measure_age
+from dykemast._internal.serving.knowledge.ages import measure_age
 from dykemast._internal.utils.events import make_logger
 from dykemast._internal.utils.packing import pack, unpack
 
--- a/src/dykemast/_internal/serving/knowledge/currency.py
+++ b/src/dykemast/_internal/serving/knowledge/currency.py
@@ -5,7 +5,7 @@
 from dykemast._internal.operations.knowledge import Knowledge, is_read_late
 from dykemast._internal.platform.configuration import CONFIGURATION_KIND
 from dykemast._internal.platform.servers import SERVER_KIND
-from dykemast._internal.serving.knowledge.freshness import measure_age
+from dykemast._internal.serving.knowledge.ages import measure_age
 from dykemast._internal.serving.state.board import ServingBoard
 
 
--- a/src/dykemast/_internal/serving/knowledge/freshness.py
+++ b/src/dykemast/_internal/serving/knowledge/freshness.py
@@ -6,12 +6,15 @@
 """
 
 import asyncio
+import itertools
+import math
 import time
 from typing import Final, NamedTuple
 
 from dykemast._internal.exceptions import PlatformError
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.serving.state.board import ServingBoard, list_heard
+from dykemast._internal.serving.knowledge.ages import measure_age
 from dykemast._internal.serving.knowledge.follower import Follower, take_listing
 from dykemast._internal.serving.knowledge.store_state import (
     note_lost,
@@ -26,6 +29,8 @@
 #: each of the next waits longer: news of it take about 0.3 s.
 FIRST_AGE: Final = 0.5
 NEXT_AGE: Final = 0.25
+#: Routers before this one beyond which it makes no difference how many.
+_MAX_TURNS: Final = math.ceil((1 - FIRST_AGE) / NEXT_AGE)
 
 
 class Checked(NamedTuple):
@@ -50,53 +55,24 @@
     :param store: the object store.
     :param checked: what to read.
     """
-    kind = checked.follower.kind
     while True:
-        if measure_age(board, kind) > checked.bound * _choose_age(board):
+        if is_due(board, checked):
             await _read(board, store, checked.follower)
         await asyncio.sleep(_PAUSE)
 
 
-def tell_ages(board: ServingBoard) -> dict[str, float]:
-    """Tell peers how old the knowledge of each kind is.
+def is_due(board: ServingBoard, checked: Checked) -> bool:
+    """Tell whether this router should read a kind now.
 
     :param board: the blackboard.
-    :returns: seconds by kind.
+    :param checked: the kind, and how old knowledge of it may be.
+    :returns: whether it should.
     """
-    now = time.monotonic()
-    return {kind: now - at for kind, at in board.checked_at.items()}
-
-
-def measure_age(board: ServingBoard, kind: str) -> float:
-    """Measure how old the knowledge of a kind may be.
-
-    :param board: the blackboard.
-    :param kind: the kind.
-    :returns: seconds since it was last read whole, by whoever is heard.
-    """
-    return time.monotonic() - board.checked_at.get(kind, 0)
-
-
-def note_age(
-    board: ServingBoard,
-    kind: str,
-    age: float | None,
-    asked_at: float,
-) -> None:
-    """Take over that a peer read a kind, and what it found.
-
-    The age counts from when the peer was asked, before it told: news may wait
-    in buffers for as long as a busy loop takes, and old knowledge would pass
-    for new (for 1.2 to 2.4 s younger than it was, in three runs by hand).
-
-    :param board: the blackboard; it knows what the peer found already.
-    :param kind: the kind.
-    :param age: seconds since the peer read it; None for never.
-    :param asked_at: seconds at which the peer was asked.
-    """
-    if age is not None:
-        known = board.checked_at.get(kind, 0)
-        board.checked_at[kind] = max(known, asked_at - age)
+    age = measure_age(board, checked.follower.kind)
+    if age <= checked.bound * FIRST_AGE:
+        # It is nobody's turn yet, and whose it is takes a look at all peers.
+        return False
+    return age > checked.bound * _choose_age(board)
 
 
 def _choose_age(board: ServingBoard) -> float:
@@ -105,10 +81,13 @@
     :param board: the blackboard.
     :returns: part of the bound.
     """
-    before = sum(
-        peer.card.instance < board.settings.name for peer in list_heard(board)
+    before = (
+        peer
+        for peer in list_heard(board)
+        if peer.card.instance < board.settings.name
     )
-    return min(1, FIRST_AGE + NEXT_AGE * before)
+    counted = sum(1 for _ in itertools.islice(before, _MAX_TURNS))
+    return min(1, FIRST_AGE + NEXT_AGE * counted)
 
 
 async def _read(
--- a/src/dykemast/_internal/serving/members/peer_news.py
+++ b/src/dykemast/_internal/serving/members/peer_news.py
@@ -7,7 +7,7 @@
 from dykemast._internal.models.news import News, RelayedLoads
 from dykemast._internal.platform.configuration import CONFIGURATION_KIND
 from dykemast._internal.platform.servers import SERVER_KIND
-from dykemast._internal.serving.knowledge import backends, freshness
+from dykemast._internal.serving.knowledge import ages, backends
 from dykemast._internal.serving.members import members
 from dykemast._internal.serving.state.board import ServingBoard, is_silent
 from dykemast._internal.serving.state.fleet_size import is_large
@@ -41,7 +41,7 @@
             loads=self._loads.own.tell_all(),
             relayed=self._relay(),
             prompts=self._loads.caches.tell(time.monotonic()),
-            ages=freshness.tell_ages(self._board),
+            ages=ages.tell_ages(self._board),
             servers=self._board.server_state,
             strain=measure_strain(self._board),
             absent=self._loads.absent.tell(time.monotonic()),
@@ -110,10 +110,10 @@
     :param news: the peer's answer.
     :param asked_at: seconds at which it was asked.
     """
-    ages = news.ages
+    told = news.ages
     if board.count_version() >= news.card.revision:
         # Else the newer configuration has to be fetched first.
         kind = CONFIGURATION_KIND
-        freshness.note_age(board, kind, ages.get(kind), asked_at)
+        ages.note_age(board, kind, told.get(kind), asked_at)
     if board.server_state.digest == news.servers.digest:
-        freshness.note_age(board, SERVER_KIND, ages.get(SERVER_KIND), asked_at)
+        ages.note_age(board, SERVER_KIND, told.get(SERVER_KIND), asked_at)
--- a/src/dykemast/_internal/serving/process/description.py
+++ b/src/dykemast/_internal/serving/process/description.py
@@ -2,7 +2,7 @@
 
 import time
 
-from dykemast._internal.serving.knowledge.freshness import tell_ages
+from dykemast._internal.serving.knowledge.ages import tell_ages
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.state.board import ServingBoard, list_heard
 
--- a/src/dykemast/_internal/serving/process/loops.py
+++ b/src/dykemast/_internal/serving/process/loops.py
@@ -21,10 +21,10 @@
 from dykemast._internal.serving.process.description import describe_state
 from dykemast._internal.serving.knowledge.follower import Follower
 from dykemast._internal.serving.knowledge.followers import follow_kind
+from dykemast._internal.serving.knowledge.ages import tell_ages
 from dykemast._internal.serving.knowledge.freshness import (
     Checked,
     keep_fresh,
-    tell_ages,
 )
 from dykemast._internal.serving.process.reload import follow_settings
 from dykemast._internal.utils.events import LineHandler, make_logger
--- a/src/dykemast/_internal/serving/tokens/budget_upkeep.py
+++ b/src/dykemast/_internal/serving/tokens/budget_upkeep.py
@@ -42,7 +42,7 @@
     while True:
         await asyncio.sleep(REVIEW_PAUSE)
         for account in upkeep.budgets.accounts.values():
-            if _needs_write(upkeep, account):
+            if needs_write(upkeep, account):
                 upkeep.search.start(account, upkeep.writer.write(account))
 
 
@@ -77,12 +77,21 @@
     account.allowance.expect_limit(account.allowance.count_charged())
 
 
-def _needs_write(upkeep: Upkeep, account: Account) -> bool:
+def needs_write(upkeep: Upkeep, account: Account) -> bool:
+    """Tell whether this router should write a budget on nobody's behalf.
+
+    :param upkeep: what it needs.
+    :param account: the budget.
+    :returns: whether it should.
+    """
     if upkeep.board.stopping or not upkeep.writer.may_try():
         return False
-    if not keeps(upkeep.board, account.workspace):
+    # Who keeps a budget is looked up last: with 195 routers that takes 0.3 ms
+    # of processor, and each second has 80 looks at 40 budgets, most of which
+    # this router never drew on (2.5 % of a core).
+    if not _is_off_target(account, 1 + len(upkeep.board.peers)):
         return False
-    return _is_off_target(account, 1 + len(upkeep.board.peers))
+    return keeps(upkeep.board, account.workspace)
 
 
 def _is_off_target(account: Account, routers: int) -> bool:
--- a/tests/unit/test_knowledge_age.py
+++ b/tests/unit/test_knowledge_age.py
@@ -16,7 +16,7 @@
     take_configuration,
 )
 from dykemast._internal.serving.knowledge.currency import know_configuration
-from dykemast._internal.serving.knowledge.freshness import measure_age
+from dykemast._internal.serving.knowledge.ages import measure_age
 from dykemast._internal.serving.members.peer_news import PeerNews, note_ages
 from dykemast._internal.serving.state.loads import make_loads
 from tests.lib.serving_boards import make_boards
