--- a/src/dykemast/_internal/serving/relay/payments.py
+++ b/src/dykemast/_internal/serving/relay/payments.py
@@ -8,6 +8,9 @@
 )
 from dykemast._internal.serving.requests.ticket import Ticket
 from dykemast._internal.serving.tokens.holds import Hold
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('budgets')
 
 
 class Payment:
@@ -68,3 +71,14 @@
             left -= charged
         if self._holds:
             self._parts.meters.tokens.add({'state': 'consumed'}, used)
+            self._log_settled(used)
+
+    def _log_settled(self, used: int) -> None:
+        # What a row in the store does not know yet when its router dies.
+        _log(
+            'settled',
+            request=self._ticket.request.request_id,
+            workspace=self._holds[0].workspace,
+            held=sum(one.tokens for one in self._holds),
+            consumed=used,
+        )
--- a/src/dykemast/_internal/serving/tokens/ledger_writer.py
+++ b/src/dykemast/_internal/serving/tokens/ledger_writer.py
@@ -139,6 +139,8 @@
         'room': allowance.count_room(),
         'spent': allowance.spent,
         'held': allowance.held,
+        'lent': allowance.lent,
+        'borrowed': allowance.borrowed,
     }
     if ledger is None:
         return described
--- a/src/dykemast/_internal/serving/tokens/loans.py
+++ b/src/dykemast/_internal/serving/tokens/loans.py
@@ -88,7 +88,7 @@
     account.allowance.borrowed += given
     note_lent(account, card.instance, -given)
     _log(
-        'tokens_borrowed',
+        'tokens_borrowed' if given else 'nothing_to_borrow',
         workspace=account.workspace,
         peer=card.instance,
         tokens=given,
