--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -6,6 +6,7 @@
 
 SEEDS = Path(run.__file__).parent / 'seeds.txt'
 FIXED_SEED = 8
+FOREIGN_SEED = 1_000_003
 OVERSPENT_SEED = 611136
 
 
@@ -23,6 +24,10 @@
     assert not run.run_seed(FIXED_SEED).broken
 
 
+def test_a_seed_with_foreign_entries_keeps_the_promises() -> None:
+    assert not run.run_seed(FOREIGN_SEED).broken
+
+
 def test_a_seed_with_a_slow_link_does_not_overspend() -> None:
     # With one silent link and three planned stops 60,111 of 60,000 tokens were
     # consumed, and 60,114 in a replay (three of seven plays): callers left in
--- a/tests/lib/users_objects.py
+++ b/tests/lib/users_objects.py
@@ -1,5 +1,6 @@
 """Objects of the users' store, as their operators and servers write them."""
 
+from types import MappingProxyType
 from typing import Any
 
 HOST = 'shop.example'
@@ -91,3 +92,29 @@
         'sequence': 1,
     }
     return ['servers', name, spec]
+
+
+#: Fields that make an entry one of another writer, by what is wrong with them.
+FOREIGN = MappingProxyType(
+    {
+        'number': {'address': 5},
+        'list': {'address': ['127.0.0.1:9']},
+        'port': {'address': '127.0.0.1:70000'},
+        'slots': {'slots': True},
+        'state': {'state': 'asleep'},
+        'born': {'born': 'yesterday'},
+    }
+)
+
+
+def make_foreign(how: str) -> list[Any]:
+    """Make an object of a kind that names no server to use."""
+    kind, name, spec = make_server(f'foreign-{how}', 9)
+    return [kind, name, {**spec, **FOREIGN[how]}]
+
+
+def make_next_start(server: str, spec: dict[str, Any]) -> list[Any]:
+    """Make the entry of a server that has started again under its id."""
+    born = spec.get('born', 1_000_000) + 1
+    started = {**spec, 'state': 'ready', 'born': born, 'sequence': 1}
+    return ['servers', server, started]
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -2,6 +2,7 @@
 
 import random
 
+from tests.lib.users_objects import FOREIGN
 from tests.soak.faults import Fault
 from tests.soak.proxy import MODES
 from tests.soak.series import draw_series
@@ -11,6 +12,9 @@
 FAULT_TIME = 7.0
 #: Plans of lower seeds have single faults alone.
 FIRST_WITH_SERIES = 1000
+#: Plans from this one on have entries of other writers, and servers that
+#: start again under their id.
+FIRST_WITH_FOREIGN = 1_000_000
 SERVERS = ('engine-0', 'engine-1', 'plain-0')
 STORE_FAULTS = ('away', 'silent', 'lose', 'deaf')
 CHANGES = ('raise', 'lower', 'routes')
@@ -25,9 +29,27 @@
     faults = _draw_faults(chance, size, chance.randint(0, 4))
     for _ in range(chance.randint(1, 2)):
         faults.extend(draw_series(chance, size))
+    if seed >= FIRST_WITH_FOREIGN:
+        faults.extend(_draw_entry_faults(chance))
     return sorted(faults)
 
 
+def _draw_entry_faults(chance: random.Random) -> list[Fault]:
+    return [
+        Fault(
+            chance.uniform(0.5, FAULT_TIME),
+            *chance.choice(
+                (
+                    ('foreign', 'servers', chance.choice(tuple(FOREIGN))),
+                    ('reborn', chance.choice(SERVERS), ''),
+                )
+            ),
+            chance.uniform(0.3, 3),
+        )
+        for _ in range(chance.randint(1, 4))
+    ]
+
+
 def _draw_faults(chance: random.Random, size: Size, count: int) -> list[Fault]:
     return [_draw_fault(chance, size) for _ in range(count)]
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,7 +6,13 @@
 from typing import Any
 
 from tests.lib.deployment import Deployment
-from tests.lib.users_objects import ROUTES, make_configuration, make_route
+from tests.lib.users_objects import (
+    ROUTES,
+    make_configuration,
+    make_foreign,
+    make_next_start,
+    make_route,
+)
 from tests.soak.faults import Fault
 from tests.soak.history import ROUTE_ADDED, End, History
 from tests.soak.links import Links
@@ -125,6 +131,26 @@
         self.left_at.setdefault(fault.target, time.monotonic())
         self.history.begin('leave', fault.target)()
 
+    def _foreign(self, fault: Fault) -> None:
+        self.deployment.control('store', put=[make_foreign(fault.how)])
+        self.history.begin('foreign', fault.how)()
+
+    def _reborn(self, fault: Fault) -> None:
+        """Have a server leave, and start again under its id."""
+        stored = self.deployment.read_object('servers', fault.target)
+        leaving = ['servers', fault.target, {**stored, 'state': 'draining'}]
+        end = self.history.begin('reborn', fault.target)
+        self.deployment.control('store', put=[leaving])
+        self._later(fault.lasts, self._start_again, fault.target, end)
+
+    def _start_again(self, server: str, end: End) -> None:
+        # Whoever left before is another server than the one that starts now.
+        self.left_at.pop(server, None)
+        stored = self.deployment.read_object('servers', server)
+        started = make_next_start(server, stored)
+        self.deployment.control('store', put=[started])
+        end()
+
     def _configure(self, fault: Fault) -> None:
         self._version += 3
         if fault.how == 'routes':
--- a/tests/unit/test_soak_plan.py
+++ b/tests/unit/test_soak_plan.py
@@ -1,7 +1,11 @@
 """Plans of the soak: seeds keep theirs, and stops have their whole grace."""
 
 from tests.lib.users_settings import TEMPLATE
-from tests.soak.plan import FIRST_WITH_SERIES, make_plan
+from tests.soak.plan import (
+    FIRST_WITH_FOREIGN,
+    FIRST_WITH_SERIES,
+    make_plan,
+)
 from tests.soak.routers import GRACE
 from tests.soak.sizes import LARGE
 from tests.soak.world import World
@@ -46,6 +50,15 @@
     assert {'stale', 'reset', 'slow', 'away'} <= hows
 
 
+def test_plans_have_foreign_entries_and_servers_that_start_again() -> None:
+    seeds = range(FIRST_WITH_FOREIGN, FIRST_WITH_FOREIGN + 50)
+    kinds = {kind for seed in seeds for kind in list_kinds(seed)}
+    assert {'foreign', 'reborn'} <= kinds
+    for seed in seeds:
+        for fault in make_plan(seed):
+            assert hasattr(World, f'_{fault.kind}'), fault
+
+
 def test_all_faults_can_be_brought_about() -> None:
     for seed in SEEDS:
         for fault in make_plan(seed) + make_plan(seed, LARGE):
