News between routers are compressed: 2,250 bytes become 1,180

Ruled out for now: exchanging news mostly within a hall (a far router would be heard 1.5 times a second on average, and 2 in 100 not within the 2.5 s after which it counts as silent, so that keepers of budgets would change).

Figures, news of a router in a fleet of 195, each of which has requests at four servers: 2,248 bytes plain, 1,180 at the fast level in 36 us, 1,090 at the usual one in 52 us; reading takes 15 us. Thirty a second each way are 0.15 % of a core.

--- a/src/dykemast/_internal/serving/members/peer_news.py
+++ b/src/dykemast/_internal/serving/members/peer_news.py
@@ -2,18 +2,17 @@
 
 import time
 
-import msgspec
-
+from dykemast._internal.exceptions import NotUsableError
 from dykemast._internal.models.news import News, RelayedLoads
 from dykemast._internal.platform.configuration import CONFIGURATION_KIND
 from dykemast._internal.platform.servers import SERVER_KIND
 from dykemast._internal.serving.knowledge import ages, backends
-from dykemast._internal.serving.members import members
+from dykemast._internal.serving.members import members, strain
 from dykemast._internal.serving.state.board import ServingBoard, is_silent
 from dykemast._internal.serving.state.fleet_size import is_large
 from dykemast._internal.serving.state.loads import Loads
-from dykemast._internal.serving.members.strain import measure_strain
 from dykemast._internal.utils.events import make_logger
+from dykemast._internal.utils.packing import FAST, pack, unpack
 
 _log = make_logger('gossip')
 
@@ -43,11 +42,14 @@
             prompts=self._loads.caches.tell(time.monotonic()),
             ages=ages.tell_ages(self._board),
             servers=self._board.server_state,
-            strain=measure_strain(self._board),
+            strain=strain.measure_strain(self._board),
             absent=self._loads.absent.tell(time.monotonic()),
             pauses=self._loads.pauses.tell(time.monotonic()),
         )
-        return msgspec.msgpack.encode(news)
+        # In a fleet of 195 routers 2,250 bytes become 1,180, for 0.05 ms of
+        # processor at both ends together: news are most of what passes
+        # between halls in calm.
+        return pack(news, FAST)
 
     def take_news(self, body: bytes) -> News | None:
         """Take a peer's news; those that make no sense are logged.
@@ -59,8 +61,8 @@
         :returns: the news; None when they are of no use.
         """
         try:
-            news = msgspec.msgpack.decode(body, type=News)
-        except msgspec.MsgspecError as error:
+            news = unpack(body, News)
+        except NotUsableError as error:
             _log('news_not_usable', reason=str(error))
             return None
         self._take(news)
--- a/src/dykemast/_internal/utils/packing.py
+++ b/src/dykemast/_internal/utils/packing.py
@@ -1,10 +1,10 @@
-"""Compact bodies for what passes between routers seldom and is large.
+"""Compact bodies for what passes between routers.
 
 Links may be narrow, and entries of a list are much alike.
 """
 
 import zlib
-from typing import Any, TypeVar
+from typing import Any, Final, TypeVar
 
 import msgspec
 
@@ -12,14 +12,18 @@
 
 Packed = TypeVar('Packed')
 
+#: Two thirds of the time of the usual level, for 8 % more bytes of news.
+FAST: Final = zlib.Z_BEST_SPEED
 
-def pack(packed: Any) -> bytes:
+
+def pack(packed: Any, level: int = zlib.Z_DEFAULT_COMPRESSION) -> bytes:
     """Write down a value.
 
     :param packed: a value of typed data.
+    :param level: of compression; ``FAST`` for what is written often.
     :returns: compressed MessagePack.
     """
-    return zlib.compress(msgspec.msgpack.encode(packed))
+    return zlib.compress(msgspec.msgpack.encode(packed), level)
 
 
 def unpack(body: bytes, kind: type[Packed]) -> Packed:
--- /dev/null
+++ b/tests/unit/test_news_size.py
@@ -0,0 +1,49 @@
+"""News are small, as links between halls are.
+
+Of 195 routers each writes 30 news a second and gets as many. They had 2,250
+bytes each, and with what frames them 33 to 52 KB/s passed between halls, where
+users ask for 4 KB/s.
+"""
+
+import time
+
+from dykemast._internal.models.news import ServerLoad
+from dykemast._internal.operations.peer_loads import MAX_RELAYED
+from dykemast._internal.serving.members.peer_news import PeerNews
+from dykemast._internal.serving.state.loads import make_loads
+from tests.lib.serving_boards import make_board, make_boards
+
+MOST_BYTES = 1300
+SERVERS_EACH = 4
+
+
+def make_busy_news(routers: int) -> PeerNews:
+    """Make the news of a router in a fleet where all have requests."""
+    boards = make_boards(routers)
+    loads = make_loads()
+    now = time.monotonic()
+    for number in range(1, routers):
+        told = [
+            ServerLoad(f'i-{17 * number + server:04}9c2e', 1, 90 * server)
+            for server in range(SERVERS_EACH)
+        ]
+        loads.peers.take(f'node-{number}', tuple(told), now)
+    return PeerNews(boards[0], loads)
+
+
+def test_news_of_a_large_fleet_are_small() -> None:
+    assert len(make_busy_news(195).write_news()) < MOST_BYTES
+
+
+def test_news_are_read_as_they_were_written() -> None:
+    body = make_busy_news(195).write_news()
+    news = PeerNews(make_board('node-999'), make_loads()).take_news(body)
+    assert news.card.instance == 'node-0'
+    assert len(news.relayed) == MAX_RELAYED
+    assert {len(one.loads) for one in news.relayed} == {SERVERS_EACH}
+
+
+def test_news_that_make_no_sense_are_passed_over() -> None:
+    reader = PeerNews(make_board(), make_loads())
+    for body in (b'', b'no news', make_busy_news(30).write_news()[:-9]):
+        assert reader.take_news(body) is None
