--- a/tests/unit/test_token_account.py
+++ b/tests/unit/test_token_account.py
@@ -57,7 +57,7 @@
         SETTLED,
         SERVED,
     )
-    lines += ['not a line of ours']
+    lines += ['not a line of ours', make_lines('first', ROW)[0][:-9]]
     lines += make_lines('second', {'event': 'started'}, ROW)
     charge = sum_charges(read_dead(lines))
     assert charge == Charge(900, 100, 250, 200, 1)
--- a/tools/token_account.py
+++ b/tools/token_account.py
@@ -10,6 +10,7 @@
 import sys
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -92,8 +93,10 @@
 def _decode_lines(texts: Iterable[str]) -> Iterator[Line]:
     for text in texts:
         start = text.find('{"at"')
-        if start >= 0:
-            yield json.loads(text[start:])
+        # The last line of a process that is killed may be cut off.
+        with suppress(json.JSONDecodeError):
+            if start >= 0:
+                yield json.loads(text[start:])
 
 
 def read_dead(lines: Iterable[str]) -> list[Process]:
