--- a/src/dykemast/_internal/platform/servers.py
+++ b/src/dykemast/_internal/platform/servers.py
@@ -12,13 +12,14 @@
 
 #: Kind of these objects.
 SERVER_KIND: Final = 'servers'
-#: Requests at once that an entry may claim. A guard: users run servers of up
-#: to 200; one that claims far more would be sent everything.
+#: Requests at once that an entry may claim. A guard, by choice far above the 6
+#: to 32 of today's servers: one that claims more would be sent everything.
 MAX_SLOTS: Final = 100_000
 #: Counts of heartbeats and of milliseconds, far beyond any that are true.
 MAX_COUNT: Final = 1_000_000_000_000_000
 #: Ids go into a header field of each send, so they are visible characters.
 _ID: Final = re.compile('[!-~]{1,200}')
+#: Characters of a name, and of an address; far more than users give.
 _MAX_WORD: Final = 200
 _READY: Final = 'ready'
 
