Tests that fail: tasks that end in silence, elsewhere

Story: the loops of dykemast instance run again after an error since one that ended left a fleet without backend servers.

- a loop of dykemast router that fails is never run again (1 run where 2 are wanted within 5 s),
- the writer of a shard ends with its batch: who waits gets no answer (none within 2 s), nor does anybody later,
- a listener of dykemast instance whose task ends leaves the router ready,

Looked at and left: searches for tokens, calls to peers and the leaving of a planned stop end by an error that the handler of the loop logs, and nothing waits for them without a limit.

--- /dev/null
+++ b/tests/unit/test_listener_ends.py
@@ -0,0 +1,56 @@
+"""A router one of whose listeners has ended says that it is not ready.
+
+The loops of a router are watched since one that ended left a fleet without
+backend servers. What serves callers was not: with its task gone the router
+stayed ready, and so in entry answers, while nobody could connect (seen by
+ending the task by hand).
+"""
+
+import asyncio
+import contextlib
+
+from dykemast._internal.models.deployment import Listeners
+from dykemast._internal.platform.configuration import decode_configuration
+from dykemast._internal.platform.store_types import StoreObject
+from dykemast._internal.serving.process import planned_stop, runtime
+from dykemast._internal.serving.process.entry import is_ready
+from tests.lib.serving_boards import make_board, make_endpoint
+from tests.lib.users_objects import make_configuration
+from tools.polling import POLL
+from tools.ports import find_ports
+
+PATIENCE = 5
+
+
+async def open_router() -> runtime.Runtime:
+    """Open a router whose store does not answer, with a configuration."""
+    board = make_board()
+    listeners = Listeners(*map(make_endpoint, find_ports(5)))
+    board.settings = board.settings._replace(listeners=listeners)
+    stored = StoreObject('main', 1, make_configuration())
+    board.table = decode_configuration(stored)
+    return await runtime.open_runtime(board)
+
+
+async def stop_being_ready(opened: runtime.Runtime) -> bool:
+    board = opened.assembly.parts.board
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(PATIENCE):
+            while is_ready(board):
+                await asyncio.sleep(POLL)
+    return not is_ready(board)
+
+
+async def test_a_router_whose_listener_has_ended_is_not_ready() -> None:
+    opened = await open_router()
+    assert is_ready(opened.assembly.parts.board)
+    opened.listeners[0].serving.cancel()
+    assert await stop_being_ready(opened)
+    await planned_stop.stop_router(opened)
+
+
+async def test_a_router_that_is_left_alone_stays_ready() -> None:
+    opened = await open_router()
+    assert not await stop_being_ready(opened)
+    await planned_stop.stop_router(opened)
+    assert not opened.assembly.parts.board.loops.failures
--- /dev/null
+++ b/tests/unit/test_router_loops.py
@@ -0,0 +1,91 @@
+"""No task of ``dykemast router`` ends in silence, with what waits for it.
+
+One unexpected error ended the task that read the list of backend servers on
+the users' platform, and its router stayed ready. The same cause stood here,
+found by reading every task that is started: a loop that failed ran once and
+never again; and the writer of a shard ended with its batch, so that callers
+who wait for a claim or for room in a budget were not answered at all (no
+answer within 2 s, nor to any that came later).
+"""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+from unittest import mock
+
+from dykemast._internal.controllers import keepers, runtime
+from dykemast._internal.controllers.instances import InstanceLister
+from dykemast._internal.exceptions import PlatformError
+from dykemast._internal.operations.group_commit import Ledger, Merge
+from tests.unit.test_configuration import make_board
+from tools.polling import POLL
+
+PATIENCE = 5
+ANSWER_TIME = 2
+
+
+@contextlib.asynccontextmanager
+async def run_router(lister: Any) -> AsyncIterator[runtime.Runtime]:
+    """Run the loops of a router whose list of instances is read by another."""
+    with (
+        mock.patch.object(InstanceLister, 'run', lister),
+        mock.patch.object(runtime, 'open_server', mock.AsyncMock()),
+        mock.patch.object(runtime, 'open_listeners', mock.AsyncMock()),
+    ):
+        opened = await runtime.open_runtime(make_board(), random.Random(1))
+        yield opened
+    for task in opened.tasks:
+        task.cancel()
+    await asyncio.wait(opened.tasks)
+    await opened.assembly.sessions.close()
+
+
+async def wait_for(is_done: Callable[[], bool]) -> bool:
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(PATIENCE):
+            while not is_done():
+                await asyncio.sleep(POLL)
+    return is_done()
+
+
+async def test_a_loop_of_a_router_that_fails_runs_again() -> None:
+    runs = []
+
+    async def fail(_: InstanceLister) -> None:
+        runs.append(len(runs))
+        raise AttributeError('nobody expects this')
+
+    async with run_router(fail):
+        assert await wait_for(lambda: len(runs) > 1)
+
+
+def make_failing_ledger(_: str) -> Ledger:
+    """Make a ledger whose first merge fails unexpectedly."""
+    errors = [AttributeError('nobody expects this')]
+
+    async def load() -> None:
+        """There is nothing to read."""
+
+    def merge(intents: list[Any]) -> Merge:
+        if errors:
+            raise errors.pop()
+        return Merge(dirty=False, acks=intents, save=load)
+
+    return Ledger(load, merge)
+
+
+async def test_who_waits_for_a_shard_is_told_when_its_writer_fails() -> None:
+    kind = keepers.LedgerKind(make_failing_ledger, list, 0)
+    way = keepers.Keepers(make_board(), mock.Mock(), {'shard': kind})
+    try:
+        async with asyncio.timeout(ANSWER_TIME):
+            await way.commit_here('shard/0', ['first'])
+    except PlatformError as error:
+        assert 'AttributeError' in str(error)
+    else:
+        raise AssertionError('a write that failed was confirmed')
+    async with asyncio.timeout(ANSWER_TIME):
+        assert await way.commit_here('shard/0', ['second']) == ['second']
+    way.close()
