No task of either program ends in silence

Cause: the loops of dykemast router were plain tasks, as those of dykemast instance had been; the writer of a shard answered its batch only after a platform error, so that any other ended it with everybody waiting; nobody looked at the tasks that serve listeners; and what is told of an entry that names no server did not ask whether it was told already.

Ruled out: a limit on how long callers of a shard wait (they would still be told late, and the shard would stay without a writer); running a listener again (its sockets are closed by then, and whoever started it expects them).

Change: utils/supervision serves both programs and leaves to each how it logs; dykemast router asks it for readiness as well. A writer of a shard fails its batch with a platform error whatever happened, reads its object anew and goes on. An entry is told once for each revision.

The functional tests have not run on it yet.

Conclusion: mended over fakes and one process; no router was seen to lose a loop or listener by itself.

--- a/src/dykemast/_internal/blackboard.py
+++ b/src/dykemast/_internal/blackboard.py
@@ -8,6 +8,7 @@
 from dykemast._internal.models.fleet import Instance, LoadReport, PeerCard
 from dykemast._internal.models.revisions import Revision
 from dykemast._internal.models.settings import RouterSettings
+from dykemast._internal.operations.loop_health import LoopHealth
 from dykemast._internal.operations.planned_stop import StopPlan
 
 
@@ -95,6 +96,7 @@
 
     :param settings: of this process; never changes.
     :param incarnation: random, fresh for this process start.
+    :param loops: which loops failed; ``utils.supervision``.
     """
 
     settings: RouterSettings
@@ -103,3 +105,4 @@
     loads: Loads = dataclasses.field(default_factory=Loads)
     rules: Rules = dataclasses.field(default_factory=Rules)
     traffic: Traffic = dataclasses.field(default_factory=Traffic)
+    loops: LoopHealth = dataclasses.field(default_factory=LoopHealth)
--- /dev/null
+++ b/src/dykemast/_internal/controllers/loops.py
@@ -0,0 +1,38 @@
+"""Run the loops of a router."""
+
+import asyncio
+from functools import partial
+
+import logbook
+
+from dykemast._internal.controllers.assembly import Assembly
+from dykemast._internal.network.listener_watch import watch_listeners
+from dykemast._internal.network.listeners import Listener
+from dykemast._internal.utils.supervision import Loop, LoopEnd, start_loops
+
+_log = logbook.Logger('loops')
+
+
+def run_loops(
+    assembly: Assembly,
+    listeners: list[Listener],
+) -> list[asyncio.Task[None]]:
+    """Run the loops, each again whenever it ends.
+
+    :param assembly: the router's parts.
+    :param listeners: its listeners, which are watched as well.
+    :returns: the tasks.
+    """
+    watch = Loop('watch_listeners', partial(watch_listeners, listeners))
+    loops = [Loop(run.__qualname__, run) for run in assembly.list_loops()]
+    return start_loops([*loops, watch], assembly.parts.board.loops, _tell_end)
+
+
+def _tell_end(end: LoopEnd) -> None:
+    _log.error(
+        'loops: {} failed and runs again in {:.1f} s: {} in {}',
+        end.loop,
+        end.pause,
+        end.reason,
+        ', '.join(end.calls),
+    )
--- a/src/dykemast/_internal/controllers/runtime.py
+++ b/src/dykemast/_internal/controllers/runtime.py
@@ -8,7 +8,7 @@
 
 from dykemast._internal.blackboard import Blackboard
 from dykemast._internal.controllers.assembly import Assembly, assemble
-from dykemast._internal.controllers import stopping
+from dykemast._internal.controllers import loops, stopping
 from dykemast._internal.controllers.http_apis import open_listeners
 from dykemast._internal.exceptions import DykemastError
 from dykemast._internal.network.listeners import Listener, close_listeners
@@ -95,5 +95,6 @@
         settings['peer_key'],
         assembly.list_peer_calls(),
     )
-    tasks = [asyncio.create_task(loop()) for loop in assembly.list_loops()]
-    return Runtime(assembly, await open_listeners(assembly), peers, tasks)
+    listeners = await open_listeners(assembly)
+    tasks = loops.run_loops(assembly, listeners)
+    return Runtime(assembly, listeners, peers, tasks)
--- a/src/dykemast/_internal/exceptions.py
+++ b/src/dykemast/_internal/exceptions.py
@@ -94,6 +94,10 @@
     """What another router sent, or the store holds, makes no sense."""
 
 
+class ListenerEndedError(DykemastError):
+    """A listener serves no more, though nobody closed it."""
+
+
 class UpstreamError(DykemastError):
     """A backend server failed.
 
--- a/src/dykemast/_internal/operations/group_commit.py
+++ b/src/dykemast/_internal/operations/group_commit.py
@@ -56,6 +56,16 @@
     done: asyncio.Future[Any]
     deadline: float
 
+    def answer(self, ack: Any) -> None:
+        """Tell that it is written, unless nobody waits any more."""
+        if not self.done.done():
+            self.done.set_result(ack)
+
+    def fail(self, error: PlatformError) -> None:
+        """Tell that it is not known to be written."""
+        if not self.done.done():
+            self.done.set_exception(error)
+
 
 class GroupCommit:
     """Queue of intents before one object.
@@ -103,19 +113,25 @@
             self._queue.put_nowait(waiting)
         except asyncio.QueueFull:
             full = PlatformError(f'{self._name}: too many intents wait.')
-            waiting.done.set_exception(full)
+            waiting.fail(full)
 
     async def _write_batch(self, batch: list[_Waiting]) -> None:
         try:
             acks = await self._try_writes(batch)
         except PlatformError as error:
-            _log.warning('commit: {} not written: {}', self._name, error)
-            for failed in batch:
-                _fail(failed, error)
+            failure = error
+        except Exception as error:
+            # Who waits for an answer would wait for ever, and the batches
+            # after this one need not meet the same.
+            self._loaded = False
+            failure = PlatformError(f'{type(error).__name__}: {error}')
+        else:
+            for written, ack in zip(batch, acks, strict=True):
+                written.answer(ack)
             return
-        for written, ack in zip(batch, acks, strict=True):
-            if not written.done.done():
-                written.done.set_result(ack)
+        _log.warning('commit: {} not written: {}', self._name, failure)
+        for failed in batch:
+            failed.fail(failure)
 
     async def _try_writes(self, batch: list[_Waiting]) -> list[Any]:
         for attempt in range(MAX_TRIES):
@@ -149,16 +165,11 @@
     return merge.acks
 
 
-def _fail(waiting: _Waiting, error: PlatformError) -> None:
-    if not waiting.done.done():
-        waiting.done.set_exception(error)
-
-
 def _drop_old(batch: list[_Waiting]) -> list[_Waiting]:
     # After a freeze an intent may be minutes old; its sender has long acted
     # on its failure, so it must not be written any more.
     now = asyncio.get_running_loop().time()
     for waiting in batch:
         if waiting.deadline < now:
-            _fail(waiting, PlatformError('commit: intent is too old.'))
+            waiting.fail(PlatformError('commit: intent is too old.'))
     return [young for young in batch if young.deadline >= now]
--- a/src/dykemast/_internal/path/entries.py
+++ b/src/dykemast/_internal/path/entries.py
@@ -54,11 +54,15 @@
 async def serve_ready(parts: Parts, _: Request, body: bytes) -> Response:
     """Answer whether callers should be sent here.
 
+    Not to a router in which a loop fails each time it runs.
+
     :param parts: parts of the router.
     :param body: not used.
     :returns: the answer.
     """
     board = parts.board
-    ready = board.rules.revision is not None and not board.traffic.leaving
+    known = board.rules.revision is not None
+    failing = board.loops.list_failing(time.monotonic())
+    ready = known and not board.traffic.leaving and not failing
     status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
     return JSONResponse({'ready': ready}, status)
--- a/src/dykemast/_internal/serving/knowledge/configuration.py
+++ b/src/dykemast/_internal/serving/knowledge/configuration.py
@@ -46,6 +46,7 @@
         ignore,
         note_revision,
         WATCH_PAUSE,
+        told={},
     )
 
 
--- a/src/dykemast/_internal/serving/knowledge/follower.py
+++ b/src/dykemast/_internal/serving/knowledge/follower.py
@@ -27,6 +27,8 @@
         changes have been taken.
     :param pause: seconds after an answer of a watch in which further changes
         gather, so that many of them make one call.
+    :param told: revisions of objects that were told to make no sense, by
+        name: one that nobody mends would be told at each read.
     """
 
     kind: str
@@ -35,7 +37,8 @@
     drop_object: Callable[[str], None]
     drop_unusable: Callable[[str], None]
     note_revision: Callable[[int], None]
-    pause: float = 0
+    pause: float
+    told: dict[str, int]
 
 
 def take_listing(follower: Follower, listing: Listing) -> None:
@@ -46,7 +49,10 @@
     """
     for stored in listing.found:
         _take(follower, stored)
-    follower.take_names({one.name for one in listing.found})
+    names = {one.name for one in listing.found}
+    follower.take_names(names)
+    for name in follower.told.keys() - names:
+        follower.told.pop(name)
     follower.note_revision(listing.revision)
 
 
@@ -58,6 +64,7 @@
     """
     for event in changes.events:
         if event.removed:
+            follower.told.pop(event.changed.name, None)
             follower.drop_object(event.changed.name)
         else:
             _take(follower, event.changed)
@@ -68,11 +75,22 @@
     try:
         follower.take_object(stored)
     except NotUsableError as error:
-        _log(
-            'object_not_usable',
-            kind=follower.kind,
-            name=stored.name,
-            revision=stored.revision,
-            reason=str(error),
-        )
         follower.drop_unusable(stored.name)
+        _tell_unusable(follower, stored, error)
+
+
+def _tell_unusable(
+    follower: Follower,
+    stored: StoreObject,
+    error: NotUsableError,
+) -> None:
+    if follower.told.get(stored.name) == stored.revision:
+        return
+    follower.told[stored.name] = stored.revision
+    _log(
+        'object_not_usable',
+        kind=follower.kind,
+        name=stored.name,
+        revision=stored.revision,
+        reason=str(error),
+    )
--- a/src/dykemast/_internal/serving/knowledge/server_entries.py
+++ b/src/dykemast/_internal/serving/knowledge/server_entries.py
@@ -62,4 +62,5 @@
         drop_unusable,
         note_revision,
         WATCH_PAUSE,
+        told={},
     )
--- a/src/dykemast/_internal/serving/process/loops.py
+++ b/src/dykemast/_internal/serving/process/loops.py
@@ -17,7 +17,6 @@
 from dykemast._internal.serving.tokens import budget_upkeep
 from dykemast._internal.serving.process.assembly import Assembly
 from dykemast._internal.serving.state.board import ServingBoard
-from dykemast._internal.serving.state.supervision import Loop, start_loops
 from dykemast._internal.serving.process.description import describe_state
 from dykemast._internal.serving.knowledge.follower import Follower
 from dykemast._internal.serving.knowledge.followers import follow_kind
@@ -26,8 +25,10 @@
     Checked,
     keep_fresh,
 )
+from dykemast._internal.serving.process.loop_ends import tell_end
 from dykemast._internal.serving.process.reload import follow_settings
 from dykemast._internal.utils.events import LineHandler, make_logger
+from dykemast._internal.utils.supervision import Loop, start_loops
 
 _log = make_logger('router')
 
@@ -58,7 +59,7 @@
         Loop('write_lines', lines.write_lines),
         Loop('follow_settings', partial(follow_settings, board)),
     )
-    return start_loops(first, board.loops)
+    return start_loops(first, board.loops, tell_end)
 
 
 def list_loops(assembly: Assembly) -> list[Loop]:
--- a/src/dykemast/_internal/serving/process/runtime.py
+++ b/src/dykemast/_internal/serving/process/runtime.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import socket
+from functools import partial
 from typing import Any, Final, NamedTuple
 
 from dykemast._internal.models.deployment import Endpoint
+from dykemast._internal.network.listener_watch import watch_listeners
 from dykemast._internal.network.listeners import Listener, open_on_sockets
 from dykemast._internal.serving.members import peer_calls
 from dykemast._internal.serving.process import application, entry, loops
 from dykemast._internal.serving.process.assembly import Assembly, assemble
 from dykemast._internal.serving.state.board import ServingBoard
-from dykemast._internal.serving.state.supervision import start_loops
 from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.process.loop_ends import tell_end
+from dykemast._internal.utils.supervision import Loop, start_loops
 
 #: Connections that wait to be accepted.
 BACKLOG: Final = 512
@@ -44,11 +47,20 @@
     peer_server = await peer_calls.open_peer_server(
         board, assembly.links.peer_news, parts.budgets.lend
     )
-    tasks = start_loops(loops.list_loops(assembly), board.loops)
     listeners = await _open_listeners(parts)
+    tasks = _start_loops(assembly, listeners)
     return Runtime(assembly, peer_server, listeners, tasks)
 
 
+def _start_loops(
+    assembly: Assembly,
+    listeners: list[Listener],
+) -> list[asyncio.Task[None]]:
+    watch = Loop('watch_listeners', partial(watch_listeners, listeners))
+    running = (*loops.list_loops(assembly), watch)
+    return start_loops(running, assembly.parts.board.loops, tell_end)
+
+
 async def _open_listeners(parts: Parts) -> list[Listener]:
     addresses = parts.board.settings.listeners
     side = (addresses.readiness, addresses.entry, addresses.metrics)
--- a/tests/unit/test_supervision.py
+++ b/tests/unit/test_supervision.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import time
 
 from dykemast._internal.operations.loop_health import (
@@ -17,7 +16,7 @@
 from dykemast._internal.serving.process.assembly import assemble
 from dykemast._internal.serving.process.entry import is_ready
 from dykemast._internal.serving.process.loops import list_loops
-from dykemast._internal.serving.state.supervision import Loop, supervise
+from dykemast._internal.utils.supervision import Loop, LoopEnd, start_loops
 from tests.lib.serving_boards import make_board
 
 
@@ -32,24 +31,30 @@
             await asyncio.sleep(60)
 
     async def watch() -> None:
-        with contextlib.suppress(TimeoutError, AttributeError):
-            async with asyncio.timeout(2):
-                await supervise(Loop('read', fail), health)
+        tasks = start_loops([Loop('read', fail)], health, told.append)
+        await asyncio.wait(tasks, timeout=2)
+        tasks[0].cancel()
 
     health = LoopHealth()
+    told: list[LoopEnd] = []
     asyncio.run(watch())
     assert runs == [0, 1, 2]
     assert health.failures == 2, 'one that returns has ended as well'
+    assert [end.reason for end in told] == [
+        'AttributeError: an int has no attribute rpartition',
+        'it returned.',
+    ]
+    assert told[0].calls[-1].startswith('fail:')
 
 
 def test_a_loop_that_is_cancelled_ends() -> None:
     async def stop() -> bool:
         loop = Loop('wait', lambda: asyncio.sleep(60))
-        task = asyncio.create_task(supervise(loop, LoopHealth()))
+        tasks = start_loops([loop], LoopHealth(), print)
         await asyncio.sleep(0)
-        task.cancel()
-        await asyncio.wait([task])
-        return task.cancelled()
+        tasks[0].cancel()
+        await asyncio.wait(tasks)
+        return tasks[0].cancelled()
 
     assert asyncio.run(stop())
 
--- a/tools/serving_mutations.py
+++ b/tools/serving_mutations.py
@@ -259,11 +259,27 @@
     Mutation(
         'let a loop end by an error',
         'no loop ends silently',
-        f'{_INTERNAL}/serving/state/supervision.py',
+        f'{_INTERNAL}/utils/supervision.py',
         'except Exception as error:',
         'except ImportError as error:',
         'test_supervision',
     ),
+    Mutation(
+        'stay ready though a listener has ended',
+        'no loop ends silently',
+        f'{_INTERNAL}/network/listener_watch.py',
+        'if listener.serving.done() and not listener.should_exit:',
+        'if listener.should_exit:',
+        'test_listener_ends',
+    ),
+    Mutation(
+        'run a loop of the router once',
+        'no loop ends silently',
+        f'{_INTERNAL}/controllers/loops.py',
+        'start_loops([*loops, watch], assembly.parts.board.loops, _tell_end)',
+        '[asyncio.create_task(one.run()) for one in loops]',
+        'test_router_loops',
+    ),
     Mutation(
         'take a budget with counts below zero',
         'spend never exceeds the budget',
