One logic in one place: servers, failed writes, connection fields, processes

- a server and its entry were two types, one handing out the other's fields by four properties: one type now, whose name is that of the start;
- three ends of a failed write to a budget did the same but for a word;
- the fields that concern one connection stood in the parts that serve either program: utils/hop_fields, with the same ten names (orders keeps its eleven others);
- tools/fleet and the tests each started, named and ended processes: tools/processes;
- two tests of foreign entries ended in the same four lines.

Left: shapes that are alike without the logic being so (constants above a class, constructors that keep their arguments, imports), which are most of the rest, and the reading of answers in the two programs, whose errors differ.

--- a/src/dykemast/_internal/models/backend.py
+++ b/src/dykemast/_internal/models/backend.py
@@ -5,9 +5,11 @@
 from dykemast._internal.models.deployment import Endpoint
 
 
-class ServerEntry(NamedTuple):
-    """What a backend server says of itself in the store.
+class BackendServer(NamedTuple):
+    """One start of one backend server.
 
+    :param name: names this start and no other; all that is known of a server
+        is kept under it.
     :param server_id: its id, which it may keep when it starts again.
     :param service: the service it runs.
     :param endpoint: its address; another service may get it later.
@@ -18,6 +20,7 @@
     :param sequence: count of its heartbeats since its start.
     """
 
+    name: str
     server_id: str
     service: str
     endpoint: Endpoint
@@ -26,35 +29,3 @@
     leaving: bool
     born: int | None = None
     sequence: int | None = None
-
-
-class BackendServer(NamedTuple):
-    """One start of one backend server.
-
-    :param name: names this start and no other; all that is known of a server
-        is kept under it.
-    :param entry: what the server says of itself.
-    """
-
-    name: str
-    entry: ServerEntry
-
-    @property
-    def endpoint(self) -> Endpoint:
-        """Tell its address."""
-        return self.entry.endpoint
-
-    @property
-    def service(self) -> str:
-        """Tell the service it runs."""
-        return self.entry.service
-
-    @property
-    def hall(self) -> str:
-        """Tell where it stands."""
-        return self.entry.hall
-
-    @property
-    def slots(self) -> int:
-        """Tell how many requests it works on at once."""
-        return self.entry.slots
--- a/src/dykemast/_internal/operations/server_starts.py
+++ b/src/dykemast/_internal/operations/server_starts.py
@@ -10,27 +10,27 @@
 the later start the older one.
 """
 
-from dykemast._internal.models.backend import BackendServer, ServerEntry
+from dykemast._internal.models.backend import BackendServer
 
 
 def name_start(
-    entry: ServerEntry,
+    server: BackendServer,
     revision: int,
     before: BackendServer | None,
 ) -> str:
-    """Name the start that an entry is of.
+    """Name the start of a server that is listed.
 
-    :param entry: the entry.
+    :param server: the server, as its entry says.
     :param revision: of the store, at which the entry was written.
     :param before: the start that was listed under its id.
     :returns: the name; that of ``before`` if it is the same start.
     """
-    if entry.born is not None:
-        return f'{entry.server_id}/{entry.born}'
+    if server.born is not None:
+        return f'{server.server_id}/{server.born}'
     if before is None:
-        return entry.server_id
-    if _falls_back(entry.sequence, before.entry.sequence):
-        return f'{entry.server_id}/r{revision}'
+        return server.server_id
+    if _falls_back(server.sequence, before.sequence):
+        return f'{server.server_id}/r{revision}'
     return before.name
 
 
--- a/src/dykemast/_internal/path/orders.py
+++ b/src/dykemast/_internal/path/orders.py
@@ -9,6 +9,7 @@
 from dykemast._internal.models.revisions import ModelSpec, ServiceSpec
 from dykemast._internal.operations.rendezvous import hash_text
 from dykemast._internal.path.chat_bodies import refuse_bad
+from dykemast._internal.utils.hop_fields import HOP_FIELDS
 
 #: Path of the chat completions, here and at the engines.
 CHAT_PATH: Final = '/v1/chat/completions'
@@ -21,22 +22,12 @@
 _CAPS: Final = frozenset(('max_tokens', 'max_completion_tokens'))
 #: Fields that end here: those of one connection, those for this router, and
 #: the fencing number, which only a router may say.
-_ENDS_HERE: Final = frozenset(
+_ENDS_HERE: Final = HOP_FIELDS.union(
     (
         'authorization',
-        'connection',
-        'content-length',
-        'expect',
         'host',
         'idempotency-key',
-        'keep-alive',
         'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
         'x-budget',
         'x-deadline',
         'x-fencing-number',
--- a/src/dykemast/_internal/platform/answer_headers.py
+++ b/src/dykemast/_internal/platform/answer_headers.py
@@ -4,6 +4,7 @@
 
 from dykemast._internal.models.forwarding import AnswerHead
 from dykemast._internal.platform import names
+from dykemast._internal.utils.hop_fields import HOP_FIELDS
 
 _ENCODING: Final = 'latin-1'
 #: Answer of a server that is not the one that was meant.
@@ -20,7 +21,7 @@
     headers = [
         (name.lower().encode(_ENCODING), text.encode(_ENCODING))
         for name, text in fields.items()
-        if name.lower() not in names.HOP_FIELDS
+        if name.lower() not in HOP_FIELDS
     ]
     return AnswerHead(
         status=status,
--- a/src/dykemast/_internal/platform/names.py
+++ b/src/dykemast/_internal/platform/names.py
@@ -33,21 +33,6 @@
 #: Says that the backend server did not run the request.
 NOT_RUN: Final = 'x-not-executed'
 
-#: Fields that concern one connection only.
-HOP_FIELDS: Final = frozenset(
-    (
-        'connection',
-        'content-length',
-        'expect',
-        'keep-alive',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
 #: First segments of the calls by which routers steer engines.
 ENGINE_CALLS: Final = frozenset(
     (
--- a/src/dykemast/_internal/platform/servers.py
+++ b/src/dykemast/_internal/platform/servers.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from dykemast._internal.exceptions import NotUsableError
-from dykemast._internal.models.backend import ServerEntry
+from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.platform.endpoints import decode_endpoint
 
@@ -39,11 +39,11 @@
     born: NotRequired[_Count]
 
 
-def decode_server(stored: StoreObject) -> ServerEntry:
+def decode_server(stored: StoreObject) -> BackendServer:
     """Decode a backend server's entry.
 
     :param stored: the object; its name is the server's id.
-    :returns: the entry.
+    :returns: the server, named by its id alone.
     :raises NotUsableError: when it names no server to use.
     """
     if not _ID.fullmatch(stored.name):
@@ -54,9 +54,10 @@
         raise NotUsableError(f'the entry makes no sense: {error}') from error
 
 
-def _decode(stored: StoreObject) -> ServerEntry:
+def _decode(stored: StoreObject) -> BackendServer:
     fields = msgspec.convert(stored.spec, _Fields)
-    return ServerEntry(
+    return BackendServer(
+        name=stored.name,
         server_id=stored.name,
         service=fields['service'],
         endpoint=decode_endpoint(fields['address']),
--- a/src/dykemast/_internal/serving/knowledge/backends.py
+++ b/src/dykemast/_internal/serving/knowledge/backends.py
@@ -76,13 +76,13 @@
     :param board: the blackboard.
     :param server: the server.
     """
-    earlier = board.server_starts.get(server.entry.server_id)
+    earlier = board.server_starts.get(server.server_id)
     if earlier and earlier.name != server.name:
         _log('server_started_again', server=server.name, before=earlier.name)
         forget_server(board, earlier.name)
     before = board.servers.get(server.name)
     board.servers[server.name] = server
-    board.server_starts[server.entry.server_id] = server
+    board.server_starts[server.server_id] = server
     board.lapsed.pop(server.name, None)
     if before is None:
         _log(
@@ -93,7 +93,7 @@
             hall=server.hall,
             slots=server.slots,
         )
-    if server.entry.leaving:
+    if server.leaving:
         note_leaving(board, [server.name], 'store')
 
 
@@ -122,5 +122,5 @@
     board.leaving.discard(name)
     gone = board.servers.pop(name, None)
     if gone:
-        board.server_starts.pop(gone.entry.server_id)
+        board.server_starts.pop(gone.server_id)
         _log('server_gone', server=name)
--- a/src/dykemast/_internal/serving/knowledge/server_entries.py
+++ b/src/dykemast/_internal/serving/knowledge/server_entries.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.models.news import ListState
 from dykemast._internal.operations.server_starts import name_start
 from dykemast._internal.platform.servers import SERVER_KIND, decode_server
@@ -29,10 +28,10 @@
     """
 
     def take_object(stored: StoreObject) -> None:
-        entry = decode_server(stored)
+        server = decode_server(stored)
         before = board.server_starts.get(stored.name)
-        name = name_start(entry, stored.revision, before)
-        take_server(board, BackendServer(name, entry))
+        name = name_start(server, stored.revision, before)
+        take_server(board, server._replace(name=name))
         board.server_objects[stored.name] = stored
 
     def drop_object(server_id: str) -> None:
--- a/src/dykemast/_internal/serving/sending/sending.py
+++ b/src/dykemast/_internal/serving/sending/sending.py
@@ -53,7 +53,7 @@
     if ticket.service.engine:
         priority = choose_priority(workspace, ticket.route)
     added = Forwarding(
-        server=server.entry.server_id,
+        server=server.server_id,
         workspace=workspace.name if workspace else '',
         seconds=ticket.deadline - time.monotonic(),
         priority=priority,
--- a/src/dykemast/_internal/serving/tokens/ledger_writer.py
+++ b/src/dykemast/_internal/serving/tokens/ledger_writer.py
@@ -76,35 +76,29 @@
         except ContendedError as error:
             # Seven routers that start at once meet each other in ten budgets;
             # to take that for an outage refused callers of all of these.
-            account.see(None)
-            self.is_away = False
-            _log(
-                'budget_contended',
-                workspace=account.workspace,
-                reason=str(error),
-            )
+            self._note_failure(account, 'budget_contended', error)
         except BudgetNotUsableError as error:
             # No other budget waits for it.
-            account.see(None)
-            self.is_away = False
-            _log(
-                'budget_not_usable',
-                workspace=account.workspace,
-                reason=str(error),
-            )
+            self._note_failure(account, 'budget_not_usable', error)
         except PlatformError as error:
-            account.see(None)
+            self._note_failure(account, 'budget_not_written', error)
             self.is_away = True
             self._failed_at = time.monotonic()
-            _log(
-                'budget_not_written',
-                workspace=account.workspace,
-                reason=str(error),
-            )
         else:
             self.is_away = False
             _log('budget_written', **describe(account))
 
+    def _note_failure(
+        self,
+        account: Account,
+        event: str,
+        error: PlatformError,
+    ) -> None:
+        """Take note that a row was not written though the store answers."""
+        account.see(None)
+        self.is_away = False
+        _log(event, workspace=account.workspace, reason=str(error))
+
     async def _write(self, account: Account, *, spare: bool) -> None:
         for _ in range(MAX_CONFLICTS):
             if account.stored is None:
--- a/tests/functional/test_foreign_entries.py
+++ b/tests/functional/test_foreign_entries.py
@@ -39,6 +39,14 @@
     return wait_until(lambda: send(deployment, '/order/1').status == wanted)
 
 
+def check_learning(deployment: Deployment) -> None:
+    """Check that servers are used, and that what changes is still learned."""
+    time.sleep(LEARN_TIME)
+    assert count_served(deployment) == 6
+    put_entry(deployment, 'plain-0', state='draining')
+    assert wait_served(deployment, served=False)
+
+
 def count_events(deployment: Deployment, event: str) -> int:
     lines = deployment.read_events('node-0')
     return sum(line['event'] == event for line in lines)
@@ -53,21 +61,14 @@
     put_entry(deployment, 'foreign-slots', slots=True)
     put_entry(deployment, 'foreign-state', state='sleeping')
     deployment.control('store', put=[['servers', 'foreign-text', 'no entry']])
-    time.sleep(LEARN_TIME)
-    assert count_served(deployment) == 6
-    # What is changed afterwards is learned as before.
-    put_entry(deployment, 'plain-0', state='draining')
-    assert wait_served(deployment, served=False)
+    check_learning(deployment)
     deployment.stop()
 
 
 def test_raw_bytes_in_an_entry_cost_nobody_a_server() -> None:
     deployment = Deployment(routers=1, engines=1).start()
     deployment.control('store', raw='{"a": "\udcff", "b": NaN, "c": \x01}')
-    time.sleep(LEARN_TIME)
-    assert count_served(deployment) == 6
-    put_entry(deployment, 'plain-0', state='draining')
-    assert wait_served(deployment, served=False)
+    check_learning(deployment)
     deployment.stop()
 
 
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -10,11 +10,11 @@
 import msgspec
 
 from dykemast._internal.models.budget_ledger import BudgetLedger, LedgerRow
-from tests.lib.processes import Processes
 from tests.lib.users_objects import make_configuration, make_server
 from tests.lib.users_settings import make_settings
 from tools.calls import call
 from tools.polling import poll_until
+from tools.processes import Processes
 from tools.ports import choose_network, find_ports
 
 PORT_NAMES = ('caller', 'readiness', 'entry', 'peer', 'metrics')
--- a/tests/unit/test_foreign_entries.py
+++ b/tests/unit/test_foreign_entries.py
@@ -105,7 +105,7 @@
     listing = store_pages.decode_page(join_page(members)).listing
     take_listing(make_follower(board), listing)
     assert set(board.server_objects) == set(board.server_starts)
-    return {server.entry.server_id for server in board.servers.values()}
+    return {server.server_id for server in board.servers.values()}
 
 
 def make_misfit(field: str, misfit: Any) -> dict[str, Any]:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -1,10 +1,6 @@
 """Start and stop a small fleet of processes on loopback."""
 
 import json
-import subprocess
-import sys
-import tempfile
-from pathlib import Path
 from typing import Any, Final
 
 import yaml
@@ -18,12 +14,13 @@
 )
 from tools.layout import HOST, Layout, Member, list_instances
 from tools.polling import poll_until
+from tools.processes import Processes
 
 #: Tokens that each workspace's budget gets at first.
 FIRST_TOKENS: Final = 200000
 
 
-class Fleet:
+class Fleet(Processes):
     """Processes of a fleet.
 
     :param layout: what it consists of.
@@ -32,11 +29,10 @@
 
     def __init__(self, layout: Layout, **settings: Any) -> None:
         """Start nothing yet."""
+        super().__init__()
         self.layout = layout
+        self.logs = self.folder
         self._settings = settings
-        self.running: dict[str, subprocess.Popen[bytes]] = {}
-        self._folder = tempfile.TemporaryDirectory()
-        self.logs = Path(self._folder.name)
 
     def start(self) -> None:
         """Start all processes, submit a configuration and top up."""
@@ -81,28 +77,6 @@
         path.write_text(yaml.safe_dump(settings))
         self.run(router.name, 'dykemast', 'router', '--settings', str(path))
 
-    def run(self, name: str, module: str, *words: str) -> None:
-        """Start a process.
-
-        :param name: by which to find it again.
-        :param module: what it runs.
-        :param words: its arguments.
-        """
-        with (self.logs / f'{name}.log').open('ab') as log:
-            self.running[name] = subprocess.Popen(
-                [sys.executable, '-m', module, *words],
-                stderr=log,
-                stdout=log,
-            )
-
-    def stop(self) -> None:
-        """End all processes."""
-        for process in self.running.values():
-            process.kill()
-        for ended in self.running.values():
-            ended.wait()
-        self._folder.cleanup()
-
 
 def prepare(fleet: Fleet) -> None:
     """Submit a configuration, top up, and wait until all is in force.
--- a/tools/serving_mutations.py
+++ b/tools/serving_mutations.py
@@ -60,8 +60,8 @@
         'pass the key on',
         'requests go on unchanged and without the key',
         f'{_INTERNAL}/platform/caller_fields.py',
-        'names.HOP_FIELDS | names.OWN_FIELDS | names.CALLER_FIELDS',
-        'names.HOP_FIELDS | names.CALLER_FIELDS',
+        'HOP_FIELDS | names.OWN_FIELDS | names.CALLER_FIELDS',
+        'HOP_FIELDS | names.CALLER_FIELDS',
         'test_a_request_keeps',
     ),
     Mutation(
@@ -244,8 +244,8 @@
         'take the next start of a server for the one before',
         'a server that starts again is another server',
         f'{_INTERNAL}/operations/server_starts.py',
-        'if entry.born is not None:',
-        'if entry.born is None:',
+        'if server.born is not None:',
+        'if server.born is None:',
         'test_server_starts',
     ),
     Mutation(
