A test that fails: a choice goes through all routers for each server

Found by measuring every function that walks the peers, at 30, 100, 195, 300 and 1,000 of them: adding up what all routers have at one server takes 10, 25, 49, 109 and 239 us, and a choice does it for each server of its service. With 195 routers and 61 engines that is 3 ms of processor a request.

The test counts the routers looked at for one choice among 61 servers, and failed on this code (30 routers: more than 30). The two beside it hold what is added up, and pass.

--- /dev/null
+++ b/tests/unit/test_load_sums.py
@@ -0,0 +1,65 @@
+"""What all routers have at a server is added up once, not for each server.
+
+A choice weighs every server of its service, and for each it went through what
+all routers had told: 0.05 ms of processor with 195 routers, so 3 ms for one
+choice among 61 engines, by the time of the function; 0.01 ms with 30. What is
+counted here is work: the routers that are looked at for one choice.
+"""
+
+from collections.abc import Iterator
+from typing import Any
+
+from dykemast._internal.models.news import ServerLoad
+from dykemast._internal.operations import peer_loads
+
+SIZES = (30, 300, 1000)
+SERVERS = 61
+
+
+class CountedTold(dict[str, Any]):
+    """What routers told, with a count of those looked at."""
+
+    def __init__(self, told: dict[str, Any]) -> None:
+        super().__init__(told)
+        self.looks = 0
+
+    def values(self) -> Iterator[Any]:  # noqa: WPS110 -- as a dictionary has
+        for told in super().values():
+            self.looks += 1
+            yield told
+
+
+def take_all(size: int) -> peer_loads.PeerLoads:
+    """Take what each of some routers tells, evenly within a second."""
+    loads = peer_loads.PeerLoads()
+    for number in range(size):
+        told = (ServerLoad('engine-0', 1, number),)
+        loads.take(f'node-{number}', told, number / size)
+    return loads
+
+
+def test_a_choice_among_servers_looks_at_each_router_once() -> None:
+    for size in SIZES:
+        loads = take_all(size)
+        loads._told = CountedTold(loads._told)
+        for server in range(SERVERS):
+            loads.measure(f'engine-{server}', 1)
+        assert loads._told.looks <= size, size
+
+
+def test_requests_are_added_up_as_they_were_told() -> None:
+    loads = take_all(30)
+    assert loads.measure('engine-0', 1) == ServerLoad('engine-0', 30, 435)
+    assert loads.measure('engine-1', 1) == ServerLoad('engine-1', 0, 0)
+    loads.take('node-0', (ServerLoad('engine-1', 5, 7),), 1)
+    assert loads.measure('engine-0', 1).running == 29
+    assert loads.measure('engine-1', 1) == ServerLoad('engine-1', 5, 7)
+
+
+def test_what_is_too_old_is_not_added_up() -> None:
+    loads = take_all(30)
+    loads.take('node-0', (ServerLoad('engine-1', 5, 7),), 1)
+    later = 0.5 + peer_loads.PEER_LOAD_AGE
+    assert loads.measure('engine-0', 1).running == 29
+    assert loads.measure('engine-0', later).running == 14
+    assert loads.measure('engine-1', later).running == 5
