Requests of all routers are added up once for a choice, not for each server

Ruled out: sums kept as news come (each would have to be taken out again when it is two seconds old; one pass is simpler and cheap enough); plain typed sums (1.4 ms for 195 routers, more than before).

Change: sums by server are made in one pass, when more was told since or 0.05 s have passed, and stand for the turns of one choice.

It still grows with the routers, once for a choice.

--- a/src/dykemast/_internal/operations/peer_loads.py
+++ b/src/dykemast/_internal/operations/peer_loads.py
@@ -13,6 +13,9 @@
 #: Seconds after which what a peer told of its requests is forgotten: ten
 #: rounds of news, and about as long as most requests take.
 PEER_LOAD_AGE: Final = 2.0
+#: Seconds for which sums stand unless more is told: the turns of one choice,
+#: which asks for each server, and little beside the age above.
+SUM_TIME: Final = 0.05
 
 
 class _Told(NamedTuple):
@@ -26,6 +29,9 @@
     def __init__(self) -> None:
         """Know nothing yet."""
         self._told: dict[str, _Told] = {}
+        self._sums: dict[str, list[int]] = {}
+        #: Seconds at which these were added up; None when more was told since.
+        self._summed_at: float | None = None
 
     def take(
         self,
@@ -43,6 +49,7 @@
         if known is None or known.at < now:
             by_server = {load.server: load for load in loads}
             self._told[peer] = _Told(now, by_server)
+            self._summed_at = None
 
     def take_relayed(
         self,
@@ -83,17 +90,33 @@
         :param now: seconds.
         :returns: the load, of peers that were heard of lately.
         """
-        limit = now - PEER_LOAD_AGE
-        told = [
-            peer.by_server[server]
-            for peer in self._told.values()
-            if peer.at > limit and server in peer.by_server
-        ]
-        return ServerLoad(
-            server,
-            sum(load.running for load in told),
-            sum(load.unread for load in told),
-        )
+        summed_at = self._summed_at
+        if summed_at is None or not 0 <= now - summed_at < SUM_TIME:
+            self._sums = self._add_up(now - PEER_LOAD_AGE)
+            self._summed_at = now
+        return ServerLoad(server, *self._sums.get(server, (0, 0)))
+
+    def _add_up(self, limit: float) -> dict[str, list[int]]:
+        """Add up the requests that peers told of since a moment.
+
+        :returns: running requests and unread tokens, by server; plain lists:
+            with the type that tells them 195 routers took 1.4 ms, not 0.3.
+        """
+        sums: dict[str, list[int]] = {}
+        for peer in self._told.values():
+            if peer.at > limit:
+                _add_all(sums, peer.by_server)
+        return sums
+
+
+def _add_all(
+    sums: dict[str, list[int]],
+    told: dict[str, ServerLoad],
+) -> None:
+    for server, load in told.items():
+        known = sums.setdefault(server, [0, 0])
+        known[0] += load.running
+        known[1] += load.unread
 
 
 def _describe(peer: str, told: _Told, now: float) -> RelayedLoads:
--- a/tests/unit/test_load_sums.py
+++ b/tests/unit/test_load_sums.py
@@ -1,9 +1,10 @@
 """What all routers have at a server is added up once, not for each server.
 
 A choice weighs every server of its service, and for each it went through what
-all routers had told: 0.05 ms of processor with 195 routers, so 3 ms for one
-choice among 61 engines, by the time of the function; 0.01 ms with 30. What is
-counted here is work: the routers that are looked at for one choice.
+all routers had told: 1.2 ms of processor for one choice among 61 engines with
+195 routers that each have requests at four of them, by the time of the
+function, and 0.2 ms with 30; 0.3 and 0.1 ms since. What is counted here is
+work: the routers that are looked at for one choice.
 """
 
 from collections.abc import Iterator
