Sight: requests that are asked anew are told by the same digest

Cause: an id stands for one try, so lines could not tell which sends that broke were of the same request, nor how far it had come there. Change: send_failed tells same_as, sent_s and events_s where a connection ended. Nothing decides by them yet.

--- a/src/dykemast/_internal/exceptions.py
+++ b/src/dykemast/_internal/exceptions.py
@@ -106,6 +106,7 @@
     :param unconnected: whether there was not even a connection.
     :param absent: whether this shows that the server is no longer at its
         address: nobody listens there, or another server does.
+    :param broken: whether its connection ended before the answer did.
     """
 
     def __init__(
@@ -115,12 +116,14 @@
         sent: bool,
         unconnected: bool = False,
         absent: bool = False,
+        broken: bool = False,
     ) -> None:
         """Keep whether the order may have run."""
         super().__init__(text)
         self.sent = sent
         self.unconnected = unconnected
         self.absent = absent
+        self.broken = broken
 
 
 class AdminError(DykemastError):
--- a/src/dykemast/_internal/serving/process/application.py
+++ b/src/dykemast/_internal/serving/process/application.py
@@ -72,7 +72,7 @@
     ticket = admit(parts.board, scope)
     records.log_admitted(ticket, _describe_connection(scope))
     with count_running(parts.board, ticket):
-        asked = exchange.Exchange(parts, ticket, body, responder)
+        asked = exchange.open_exchange(parts, ticket, body, responder)
         served = await run_until_left(dispatch.serve(asked), receive)
     outcome = records.SERVED if served else 'caller_left'
     records.note_end(parts, ticket, outcome)
--- a/src/dykemast/_internal/serving/relay/attempts.py
+++ b/src/dykemast/_internal/serving/relay/attempts.py
@@ -5,19 +5,14 @@
 from typing import Final
 
 from dykemast._internal.exceptions import UpstreamError
-from dykemast._internal.models.backend import BackendServer
-from dykemast._internal.serving.choice.choices import (
-    choose_server,
-    count_missing,
-)
-from dykemast._internal.serving.state.loads import measure_load
+from dykemast._internal.serving.choice.choices import choose_server
 from dykemast._internal.serving.choice.outcomes import (
     note_absent,
     note_outcome,
     open_allowance,
 )
-from dykemast._internal.serving.parts import Parts
-from dykemast._internal.serving.requests.ticket import Ticket
+from dykemast._internal.serving.relay.exchange import Exchange
+from dykemast._internal.serving.relay.sends import Send, log_send
 from dykemast._internal.serving.requests.refusals import (
     RefusalCode,
     RefusedError,
@@ -34,20 +29,20 @@
 #: by choice, a few times what routes allow.
 MAX_SENDS: Final = 5
 
-Deliver = Callable[[BackendServer], Awaitable[None]]
+Deliver = Callable[[Send], Awaitable[None]]
 
 
 class Attempts:
     """Sends of one request.
 
-    :param parts: parts of the program.
-    :param ticket: the request.
+    :param exchange: the request.
     """
 
-    def __init__(self, parts: Parts, ticket: Ticket) -> None:
+    def __init__(self, exchange: Exchange) -> None:
         """Send nothing yet."""
-        self._parts = parts
-        self._ticket = ticket
+        self._parts = exchange.parts
+        self._ticket = exchange.ticket
+        self._identity = exchange.identity
         self.tried: list[str] = []
         #: Whether the request may have run.
         self.may_have_run = False
@@ -79,20 +74,18 @@
         if server is None:
             raise self._refuse(before)
         self.tried.append(server.name)
-        _log_send(self._parts, self._ticket, server, len(self.tried))
+        send = Send(server, time.monotonic())
+        log_send(self._parts, self._ticket, send, len(self.tried))
         try:
-            await deliver(server)
+            await deliver(send)
         except UpstreamError as error:
-            self._note_failure(server, error)
+            self._note_failure(send, error)
             return error
         note_outcome(self._parts, server, failed=False)
         return None
 
-    def _note_failure(
-        self,
-        server: BackendServer,
-        error: UpstreamError,
-    ) -> None:
+    def _note_failure(self, send: Send, error: UpstreamError) -> None:
+        server = send.server
         self.may_have_run = self.may_have_run or error.sent
         note_outcome(self._parts, server, failed=True)
         if error.absent:
@@ -103,6 +96,7 @@
             server=server.name,
             may_have_run=error.sent,
             reason=str(error),
+            **send.describe_break(error, self._identity),
         )
 
     def _may_retry(self, error: UpstreamError) -> bool:
@@ -133,25 +127,3 @@
         if time.monotonic() >= self._ticket.deadline - MIN_TIME_LEFT:
             return RefusedError(RefusalCode.too_late, details)
         return RefusedError(RefusalCode.upstream_failed, details)
-
-
-def _log_send(
-    parts: Parts,
-    ticket: Ticket,
-    server: BackendServer,
-    nth: int,
-) -> None:
-    now = time.monotonic()
-    load = measure_load(parts.loads, server.name, now)
-    _log(
-        'send',
-        request=ticket.request.request_id,
-        service=ticket.service.name,
-        server=server.name,
-        nth=nth,
-        running=load.running,
-        unread=load.unread,
-        missing=count_missing(parts, ticket, server.name),
-        pause_risk=round(parts.loads.pauses.measure_risk(server.name, now), 2),
-        trust=round(parts.trust.measure(server.name, now), 2),
-    )
--- a/src/dykemast/_internal/serving/relay/event_streams.py
+++ b/src/dykemast/_internal/serving/relay/event_streams.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 from dykemast._internal.exceptions import UpstreamError
-from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.serving.relay.attempts import Attempts
 from dykemast._internal.serving.choice.choices import count_missing
 from dykemast._internal.serving.relay.event_relay import EventRelay
@@ -11,6 +10,7 @@
 from dykemast._internal.serving.relay.payments import Payment
 from dykemast._internal.serving.relay.pauses import PauseMeter
 from dykemast._internal.serving.relay.readings import Reading, note_prompt
+from dykemast._internal.serving.relay.sends import Send
 from dykemast._internal.serving.sending.sending import make_sending
 from dykemast._internal.serving.sending.upstream_answer import Answer
 
@@ -29,7 +29,7 @@
         self._parts = exchange.parts
         self._ticket = exchange.ticket
         self._body = exchange.body
-        self._attempts = Attempts(exchange.parts, exchange.ticket)
+        self._attempts = Attempts(exchange)
         self.relay = EventRelay(exchange.responder)
         self._payment = payment
 
@@ -40,12 +40,13 @@
         """
         await self._attempts.run(self._deliver)
 
-    async def _deliver(self, server: BackendServer) -> None:
+    async def _deliver(self, send: Send) -> None:
         await self._payment.hold_again()
+        server = send.server
         unread = count_missing(self._parts, self._ticket, server.name)
         reading = Reading(self._parts, server.name, unread)
         try:
-            await self._send(server, reading)
+            await self._send(send, reading)
         except UpstreamError as error:
             if error.sent:
                 self._payment.usage.note_broken()
@@ -59,19 +60,19 @@
             reading.end()
             self._parts.loads.own.end(server.name)
 
-    async def _send(self, server: BackendServer, reading: Reading) -> None:
-        sending = make_sending(self._ticket, self._body, server)
+    async def _send(self, send: Send, reading: Reading) -> None:
+        sending = make_sending(self._ticket, self._body, send.server)
         sending = sending.resume_after(self.relay.last_event)
         async with self._parts.upstreams.send(sending) as answer:
             # From here on it ran, also when the answer is a failure.
             self._attempts.may_have_run = True
             self._payment.usage.note_run()
-            note_prompt(self._parts, self._ticket, server)
+            note_prompt(self._parts, self._ticket, send.server)
             if answer.head.status >= _FIRST_FAILURE:
                 await self._pass_failure(answer)
                 return
             self.relay.begin(answer.head)
-            meter = PauseMeter(self._parts, self._ticket, server)
+            meter = PauseMeter(self._parts, self._ticket, send)
             async for chunk in answer.read_chunks(self._ticket.deadline):
                 if await self.relay.pass_chunk(chunk):
                     reading.end()
--- a/src/dykemast/_internal/serving/relay/exchange.py
+++ b/src/dykemast/_internal/serving/relay/exchange.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from dykemast._internal.operations.request_identity import RequestIdentity
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.requests.responder import Responder
 from dykemast._internal.serving.requests.ticket import Ticket
@@ -14,9 +15,30 @@
     :param ticket: the request.
     :param body: its body.
     :param responder: answers the caller.
+    :param identity: by which it is known again when it is asked anew.
     """
 
     parts: Parts
     ticket: Ticket
     body: bytes
     responder: Responder
+    identity: RequestIdentity
+
+
+def open_exchange(
+    parts: Parts,
+    ticket: Ticket,
+    body: bytes,
+    responder: Responder,
+) -> Exchange:
+    """Begin to serve a request.
+
+    :param parts: parts of the program.
+    :param ticket: the request.
+    :param body: its body.
+    :param responder: answers the caller.
+    :returns: the exchange.
+    """
+    workspace = ticket.workspace.name if ticket.workspace else ''
+    identity = RequestIdentity(ticket.request, workspace, body)
+    return Exchange(parts, ticket, body, responder, identity)
--- a/src/dykemast/_internal/serving/relay/pauses.py
+++ b/src/dykemast/_internal/serving/relay/pauses.py
@@ -2,8 +2,8 @@
 
 import time
 
-from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.relay.sends import Send
 from dykemast._internal.serving.requests.ticket import Ticket
 from dykemast._internal.utils.events import make_logger
 
@@ -15,28 +15,28 @@
 
     :param parts: parts of the program.
     :param ticket: the request.
-    :param server: the engine that answers it.
+    :param send: its send to the engine that answers it.
     """
 
     def __init__(
         self,
         parts: Parts,
         ticket: Ticket,
-        server: BackendServer,
+        send: Send,
     ) -> None:
         """Wait for the first event."""
         self._pauses = parts.loads.pauses
         self._ticket = ticket
-        self._engine = server.name
-        self._first: float | None = None
+        self._send = send
+        self._engine = send.server.name
         self._last = float()
         self._longest = float()
 
     def note_event(self) -> None:
         """Note that an event has come."""
         now = time.monotonic()
-        if self._first is None:
-            self._first = now
+        if self._send.event_at is None:
+            self._send.event_at = now
         else:
             self._note_pause(now - self._last, now)
         self._last = now
@@ -46,7 +46,7 @@
 
         :param events: passed on to the caller in all.
         """
-        began = self._first or time.monotonic()
+        began = self._send.event_at or time.monotonic()
         _log(
             'stream_ended',
             request=self._ticket.request.request_id,
--- a/src/dykemast/_internal/serving/relay/plain_calls.py
+++ b/src/dykemast/_internal/serving/relay/plain_calls.py
@@ -8,6 +8,7 @@
 from dykemast._internal.models.forwarding import AnswerHead
 from dykemast._internal.serving.relay.attempts import Attempts
 from dykemast._internal.serving.relay.exchange import Exchange
+from dykemast._internal.serving.relay.sends import Send
 from dykemast._internal.serving.sending.sending import make_sending
 
 #: Statuses from which a repeatable request may do better elsewhere.
@@ -26,10 +27,10 @@
     :raises RefusedError: when it is not served.
     """
     ticket = exchange.ticket
-    attempts = Attempts(exchange.parts, ticket)
+    attempts = Attempts(exchange)
 
-    async def deliver(server: BackendServer) -> None:
-        whole = await _fetch(exchange, server)
+    async def deliver(send: Send) -> None:
+        whole = await _fetch(exchange, send.server)
         status = whole.head.status
         may_repeat = len(attempts.tried) < ticket.route.max_workers
         if status >= FIRST_SERVER_ERROR and may_repeat:
--- /dev/null
+++ b/src/dykemast/_internal/serving/relay/sends.py
@@ -0,0 +1,76 @@
+"""One send of a request to a backend server."""
+
+import dataclasses
+import time
+from typing import Any
+
+from dykemast._internal.exceptions import UpstreamError
+from dykemast._internal.models.backend import BackendServer
+from dykemast._internal.operations.request_identity import RequestIdentity
+from dykemast._internal.serving.choice.choices import count_missing
+from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.requests.ticket import Ticket
+from dykemast._internal.serving.state.loads import measure_load
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('route')
+
+
+@dataclasses.dataclass
+class Send:
+    """A send that may be in progress.
+
+    :param server: the server that has the request.
+    :param sent_at: seconds on the steady clock.
+    :param event_at: when its first event came; None until then.
+    """
+
+    server: BackendServer
+    sent_at: float
+    event_at: float | None = None
+
+    def describe_break(
+        self,
+        error: UpstreamError,
+        identity: RequestIdentity,
+    ) -> dict[str, Any]:
+        """Describe what tells whether the request ended its server.
+
+        :param error: how the send failed.
+        :param identity: of the request.
+        :returns: fields for the log; none when no connection broke.
+        """
+        if not error.broken:
+            return {}
+        now = time.monotonic()
+        event_at = self.event_at
+        return {
+            'same_as': identity.read(),
+            'sent_s': round(now - self.sent_at, 3),
+            'events_s': None if event_at is None else round(now - event_at, 3),
+        }
+
+
+def log_send(parts: Parts, ticket: Ticket, send: Send, nth: int) -> None:
+    """Log a send, and what made this server the one to choose.
+
+    :param parts: parts of the program.
+    :param ticket: the request.
+    :param send: the send.
+    :param nth: which of the request's sends it is.
+    """
+    server = send.server.name
+    load = measure_load(parts.loads, server, send.sent_at)
+    pause_risk = parts.loads.pauses.measure_risk(server, send.sent_at)
+    _log(
+        'send',
+        request=ticket.request.request_id,
+        service=ticket.service.name,
+        server=server,
+        nth=nth,
+        running=load.running,
+        unread=load.unread,
+        missing=count_missing(parts, ticket, server),
+        pause_risk=round(pause_risk, 2),
+        trust=round(parts.trust.measure(server, send.sent_at), 2),
+    )
--- a/src/dykemast/_internal/serving/sending/upstream.py
+++ b/src/dykemast/_internal/serving/sending/upstream.py
@@ -19,6 +19,7 @@
     FAILURES,
     Answer,
     check_head,
+    is_break,
 )
 
 _NO_CONNECTION: Final = (
@@ -73,7 +74,9 @@
             ) from error
         except FAILURES as error:
             text = f'no answer: {type(error).__name__}'
-            raise UpstreamError(text, sent=True) from error
+            raise UpstreamError(
+                text, sent=True, broken=is_break(error)
+            ) from error
 
     async def _request(self, sending: Sending) -> aiohttp.ClientResponse:
         if self._session is None:
--- a/src/dykemast/_internal/serving/sending/upstream_answer.py
+++ b/src/dykemast/_internal/serving/sending/upstream_answer.py
@@ -42,13 +42,17 @@
                     chunk = await self.response.content.readany()
             except FAILURES as error:
                 text = f'the answer broke off: {type(error).__name__}'
-                raise UpstreamError(text, sent=True) from error
+                raise UpstreamError(
+                    text, sent=True, broken=is_break(error)
+                ) from error
             if not chunk:
                 break
             yield chunk
         if not self.head.delimited:
             # The library does not tell an end from a reset here.
-            raise UpstreamError('the answer has no length.', sent=True)
+            raise UpstreamError(
+                'the answer has no length.', sent=True, broken=True
+            )
 
     async def read_whole(self, deadline: float) -> bytes:
         """Read the whole body.
@@ -65,6 +69,15 @@
         return bytes(body)
 
 
+def is_break(error: Exception) -> bool:
+    """Tell whether a connection ended, rather than time.
+
+    :param error: one of ``FAILURES``.
+    :returns: whether it did.
+    """
+    return not isinstance(error, TimeoutError)
+
+
 def check_head(
     request_id: str,
     response: aiohttp.ClientResponse,
