Tests that fail: a request that ends the servers that run it

Cause under test: nothing connects a request with the ends of servers, nor knows it again when it is asked anew at any router. A hot question is blamed for nothing, as nothing is.

--- /dev/null
+++ b/tests/functional/test_crashing_requests.py
@@ -0,0 +1,160 @@
+"""A request that ends the servers that run it, over real processes.
+
+Users saw one request end a dozen model engines within 14 s. Its caller asked
+again, at another router each time; each send ended one more engine, and with
+it the answers of all others there. In twelve ends of twelve the same request
+had been sent there less than a second before. No router connected a request
+with the end of a server, and none knew it again when it was asked anew.
+"""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
+
+from tests.lib.deployment import Deployment
+from tests.lib.server_keeper import ServerKeeper
+from tests.lib.users_caller import Reply, send, stream
+from tests.lib.users_objects import make_route, make_stream_route
+
+CRASH = 'crash the server'
+#: Servers that a request may end before it counts as known, the seconds that
+#: all routers then have to learn it, and the sends that may still slip by.
+FREE_ENDS = 3
+LEARN_TIME = 3.0
+LATE_SENDS = 3
+#: Seconds between two asks, and those of a play before and after all routers
+#: are lost.
+ASK_PAUSE = 0.4
+FIRST_PLAY = 11.0
+SECOND_PLAY = 6.0
+#: Seconds for which a server is gone.
+DOWN_TIME = 2.0
+ROUTES = (
+    make_route('/ask/', type='safe', service='llm', attempts=2),
+    make_stream_route('/stream/'),
+)
+
+
+class Innocent(NamedTuple):
+    """A request beside those that end servers."""
+
+    at: float
+    reply: Reply
+
+
+class Play:
+    """Callers of one deployment; one of them ends servers."""
+
+    def __init__(self, path: str) -> None:
+        self.deployment = Deployment(routers=3, engines=4).start(routes=ROUTES)
+        self.keeper = ServerKeeper(self.deployment, DOWN_TIME)
+        self.innocent: list[Innocent] = []
+        self._path = path
+        self._turn = 0
+
+    def run(self, seconds: float) -> None:
+        until = time.monotonic() + seconds
+        with ThreadPoolExecutor() as pool:
+            while time.monotonic() < until:
+                names = self.deployment.names
+                router = names[self._turn % len(names)]
+                self._turn += 1
+                pool.submit(self.ask, CRASH, router)
+                pool.submit(self._ask_innocent, router)
+                time.sleep(ASK_PAUSE)
+
+    def lose_all_routers(self) -> None:
+        for name in self.deployment.names:
+            self.deployment.processes.kill(name)
+        for name in self.deployment.names:
+            self.deployment.start_router(name)
+        for name in self.deployment.names:
+            self.deployment.wait_ready(name)
+
+    def count_late_ends(self) -> int:
+        ends = self.keeper.ends
+        if len(ends) < FREE_ENDS:
+            return 0
+        known_at = ends[FREE_ENDS - 1] + LEARN_TIME
+        return sum(ended > known_at for ended in ends)
+
+    def stop(self) -> None:
+        self.keeper.stop()
+        self.deployment.stop()
+
+    def ask(self, body: str, router: str) -> Reply:
+        ask = stream if self._path.startswith('/stream/') else send
+        return ask(self.deployment, self._path, router=router, body=body)
+
+    def _ask_innocent(self, router: str) -> None:
+        at = time.monotonic()
+        reply = self.ask(f'innocent {at}', router)
+        self.innocent.append(Innocent(at, reply))
+
+
+def list_failed(play: Play) -> list[int]:
+    """List what innocent requests got after all could know."""
+    known_at = play.keeper.ends[FREE_ENDS - 1] + LEARN_TIME + DOWN_TIME
+    return [
+        one.reply.status
+        for one in play.innocent
+        if one.at > known_at and one.reply.status != 200
+    ]
+
+
+def check_play(path: str) -> None:
+    play = Play(path)
+    play.run(FIRST_PLAY)
+    first_late = play.count_late_ends()
+    failed = list_failed(play)
+    play.lose_all_routers()
+    play.run(SECOND_PLAY)
+    late = play.count_late_ends()
+    play.stop()
+    assert len(play.keeper.ends) >= FREE_ENDS, 'the request ends servers'
+    assert first_late <= LATE_SENDS, (first_late, play.keeper.ends)
+    assert not failed, f'innocent requests got {failed}'
+    assert late <= LATE_SENDS, f'{late} after all routers were lost'
+
+
+def test_a_call_that_ends_servers_is_known_to_all_routers() -> None:
+    check_play('/ask/a')
+
+
+def test_a_stream_that_ends_servers_is_known_to_all_routers() -> None:
+    check_play('/stream/a')
+
+
+def lose_all_servers(play: Play) -> None:
+    for name in play.deployment.backend_ports:
+        if name.startswith('engine'):
+            play.deployment.processes.running[name].kill()
+    time.sleep(DOWN_TIME + 1)
+
+
+def ask_everywhere(play: Play, pool: ThreadPoolExecutor) -> None:
+    for router in 4 * play.deployment.names:
+        pool.submit(play.ask, 'hot', router)
+    time.sleep(ASK_PAUSE)
+
+
+def list_codes(play: Play) -> set[str | None]:
+    return {
+        event.get('code')
+        for router in play.deployment.names
+        for event in play.deployment.read_events(router)
+    }
+
+
+def test_a_hot_question_is_never_blamed_for_a_loss_of_all_servers() -> None:
+    # Everybody asks the same, so that each server that ends runs it.
+    play = Play('/ask/hot/slow')
+    for _ in range(4):
+        with ThreadPoolExecutor() as pool:
+            ask_everywhere(play, pool)
+            lose_all_servers(play)
+    replies = [play.ask('hot', router) for router in play.deployment.names]
+    codes = list_codes(play)
+    play.stop()
+    assert {reply.status for reply in replies} == {200}
+    assert 'quarantined' not in codes
--- a/tests/lib/backend_server.py
+++ b/tests/lib/backend_server.py
@@ -7,12 +7,14 @@
 (breaks off midway), ``part`` (ends in the middle of an event), ``mute`` (no
 answer), ``unsigned``, ``other`` (answers another request) or
 ``misdirected``; ``pause`` (seconds between events) and ``delay`` (seconds
-that a plain call takes). It returns what ran, what it got and what arrived,
+that a plain call takes). A request whose body begins with ``crash`` ends
+the process when it begins to run it. It returns what ran, what it got and what arrived,
 with times of the clock that all processes of a machine share.
 """
 
 import asyncio
 import contextlib
+import os
 import time
 from typing import Any
 
@@ -27,6 +29,9 @@
 #: Seconds of work on a slow path, and between two looks at its caller.
 SLOW_TIME = 1.5
 LOOK_PAUSE = 0.05
+#: Beginning of a body that ends the process, and seconds until it does.
+CRASH = b'crash'
+CRASH_TIME = 0.05
 state: dict[str, Any] = {
     'fault': '',
     'name': '',
@@ -66,7 +71,11 @@
 
 
 async def _run(request: Request, head: dict[str, str]) -> Response:
-    run = _note_run(request, await request.body())
+    body = await request.body()
+    run = _note_run(request, body)
+    if body.startswith(CRASH):
+        await asyncio.sleep(CRASH_TIME)
+        os._exit(1)
     if state['fault'] == 'mute':
         await asyncio.sleep(30)
     if state['fault'] == 'error':
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -52,13 +52,14 @@
             if name != 'store':
                 listed = self.listed_ports.get(name, port)
                 put.append(make_server(name, listed))
-                self._run_on_port(
-                    name, 'tests.lib.backend_server', '--name', name
-                )
+                self.start_server(name)
         self._run_on_port(
             'store', 'tests.lib.object_store', '--put', json.dumps(put)
         )
 
+    def start_server(self, name: str) -> None:
+        self._run_on_port(name, 'tests.lib.backend_server', '--name', name)
+
     def start_router(self, name: str) -> None:
         path = self.processes.folder / f'{name}.toml'
         path.write_text(make_settings(self, name))
--- /dev/null
+++ b/tests/lib/server_keeper.py
@@ -0,0 +1,54 @@
+"""Start backend servers again that ended, as the users' platform does."""
+
+import threading
+import time
+
+from tests.lib.deployment import Deployment
+from tests.lib.users_objects import make_next_start
+
+#: Seconds between two looks.
+LOOK_PAUSE = 0.02
+
+
+class ServerKeeper:
+    """Watches the servers of a deployment until ``stop``.
+
+    :param deployment: whose servers may end.
+    :param down_time: seconds until one is back, under a new start.
+    """
+
+    def __init__(self, deployment: Deployment, down_time: float = 2) -> None:
+        self._deployment = deployment
+        self._down_time = down_time
+        self._stopping = threading.Event()
+        self._back_at: dict[str, float] = {}
+        #: When servers ended, in order.
+        self.ends: list[float] = []
+        self._thread = threading.Thread(target=self._watch)
+        self._thread.start()
+
+    def stop(self) -> None:
+        self._stopping.set()
+        self._thread.join()
+
+    def _watch(self) -> None:
+        names = set(self._deployment.backend_ports) - {'store'}
+        while not self._stopping.wait(LOOK_PAUSE):
+            for name in names:
+                self._look(name, time.monotonic())
+
+    def _look(self, name: str, now: float) -> None:
+        process = self._deployment.processes.running[name]
+        if name in self._back_at:
+            if now >= self._back_at[name]:
+                self._start_again(name)
+        elif process.poll() is not None:
+            self.ends.append(now)
+            self._back_at[name] = now + self._down_time
+
+    def _start_again(self, name: str) -> None:
+        self._back_at.pop(name)
+        self._deployment.start_server(name)
+        stored = self._deployment.read_object('servers', name)
+        started = make_next_start(name, stored)
+        self._deployment.control('store', put=[started])
