Tests that fail: a machine that is suspended

Cause under test: all times are read from the steady clock, which does not count the time in which a machine sleeps. The suspension is played by a router whose steady clock leaves out the time in which its process stands still.

--- /dev/null
+++ b/tests/functional/test_suspended_routers.py
@@ -0,0 +1,114 @@
+"""A machine that is suspended for seconds, while the world goes on.
+
+The steady clock of such a machine does not count the time asleep. A router
+that reckons by it takes its configuration, its list of servers, its peers and
+the time left to requests for younger than they are: awake again, it refused a
+route with 404 that had been added while it slept, and kept a caller waiting
+whose time had been over before. A process that is only stopped does not show
+this, as the steady clock of its machine runs on.
+"""
+
+import signal
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+
+from tests.lib.deployment import Deployment
+from tests.lib.fixtures import wait_until
+from tests.lib.users_caller import send
+from tests.lib.users_objects import ROUTES, make_configuration, make_route
+
+#: Seconds for which the machine is suspended; a change has to be in force
+#: after 2 s.
+SUSPENDED = 3.0
+#: Seconds until requests have reached a router that stands still.
+PAUSE = 0.5
+#: Seconds that the store takes for an answer, so that no read comes first.
+LATENCY = 0.2
+#: Milliseconds that a caller waits, so that its time ends in the suspension.
+PATIENCE = '1500'
+
+
+def start_deployment() -> Deployment:
+    deployment = Deployment(routers=1)
+    deployment.router_module = 'tests.lib.suspended_router'
+    return deployment.start()
+
+
+@contextmanager
+def suspend(deployment: Deployment) -> Iterator[None]:
+    """Suspend the router; what is done meanwhile happens while it sleeps."""
+    process = deployment.processes.running['node-0']
+    process.send_signal(signal.SIGSTOP)
+    until = time.monotonic() + SUSPENDED
+    yield
+    time.sleep(max(0, until - time.monotonic()))
+    process.send_signal(signal.SIGCONT)
+
+
+def add_route(deployment: Deployment) -> None:
+    routes = (*ROUTES, make_route('/new/'))
+    changed = make_configuration(version=7, prepaid=10**8, routes=routes)
+    deployment.control('store', put=[['config', 'main', changed]])
+
+
+def find_events(deployment: Deployment, name: str) -> list[dict]:
+    return [
+        event
+        for event in deployment.read_events('node-0')
+        if event['event'] == name
+    ]
+
+
+def test_a_router_that_wakes_up_refuses_nothing_by_what_it_knew() -> None:
+    deployment = start_deployment()
+    deployment.control('store', deaf=True, latency=LATENCY)
+    with ThreadPoolExecutor() as caller:
+        with suspend(deployment):
+            add_route(deployment)
+            time.sleep(SUSPENDED - PAUSE)
+            asked = [
+                caller.submit(send, deployment, '/new/1') for _ in range(4)
+            ]
+    answers = {one.result().status for one in asked}
+    assert 404 not in answers, answers
+    assert wait_until(lambda: send(deployment, '/new/1').status == 200)
+    deployment.stop()
+
+
+def read_times_of_refusals(deployment: Deployment, code: str) -> list[float]:
+    events = find_events(deployment, 'refused')
+    return [one['took_s'] for one in events if one['code'] == code]
+
+
+def sleep_through(deployment: Deployment) -> None:
+    with suspend(deployment):
+        time.sleep(PAUSE)
+
+
+def test_the_time_of_a_request_runs_on_while_its_router_sleeps() -> None:
+    deployment = start_deployment()
+    deployment.control('plain-0', fault='mute')
+    with ThreadPoolExecutor() as caller:
+        asked = caller.submit(
+            send, deployment, '/order/1', X_Deadline_Ms=PATIENCE
+        )
+        assert wait_until(lambda: bool(find_events(deployment, 'send')))
+        sleep_through(deployment)
+    assert asked.result().status == 504
+    assert wait_until(
+        lambda: bool(read_times_of_refusals(deployment, 'too_late'))
+    )
+    took = read_times_of_refusals(deployment, 'too_late')
+    assert took[0] >= SUSPENDED, f'it took {took} s by the clock of the router'
+    deployment.stop()
+
+
+def test_a_suspension_is_told() -> None:
+    deployment = start_deployment()
+    sleep_through(deployment)
+    assert wait_until(lambda: bool(find_events(deployment, 'suspended')))
+    told = find_events(deployment, 'suspended')
+    assert told[0]['asleep_s'] >= SUSPENDED - PAUSE
+    deployment.stop()
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -34,6 +34,8 @@
         #: Ports that are listed or told instead of the real ones.
         self.listed_ports: dict[str, int] = {}
         self.store_ports: dict[str, int] = {}
+        #: The program that routers run.
+        self.router_module = 'dykemast.instance'
         self.names = [f'node-{number}' for number in range(routers)]
         self.processes = Processes()
         self._network = choose_network()
@@ -64,7 +66,7 @@
         path = self.processes.folder / f'{name}.toml'
         path.write_text(make_settings(self, name))
         self.processes.run(
-            name, 'dykemast.instance', DYKEMAST_SETTINGS=str(path)
+            name, self.router_module, DYKEMAST_SETTINGS=str(path)
         )
 
     def find_host(self, name: str) -> str:
