--- a/src/dykemast/_internal/operations/crash_chains.py
+++ b/src/dykemast/_internal/operations/crash_chains.py
@@ -6,11 +6,13 @@
 
 - who had brought events for a while had begun long before, and did not end it;
 - ends count one after another: a run that began before the end of the last one
-  shows nothing more. When all servers end at one moment, a question that
-  everybody asks is under many of them, and this counts as one;
+  shows nothing more. Times that others tell are late by the transit of news,
+  so that the router which saw the end before the next send counts right. When
+  all servers end at one moment, a question that everybody asks is under many
+  of them, and this counts as one;
 - an end counts for the request with the most ends alone, as the others are
   explained by it;
-- a run that comes to its end clears the request.
+- a run that comes to its end, or brings events for a while, clears the request.
 
 In a play of a dozen ends within 14 s an innocent request ran on three of the
 servers; it is cleared by the first rule in two of the three.
@@ -18,11 +20,7 @@
 
 import operator
 from collections.abc import Iterable, Mapping
-from typing import Final, NamedTuple
-
-#: Seconds by which times that come from another router may be off: links take
-#: 1 ms, a busy process some ten.
-TRANSIT_TIME: Final = 0.1
+from typing import NamedTuple
 
 
 class Run(NamedTuple):
@@ -50,7 +48,7 @@
     """
     chain: list[Run] = []
     for run in sorted(runs, key=operator.attrgetter('ended_at')):
-        if not chain or run.sent_at > chain[-1].ended_at - TRANSIT_TIME:
+        if not chain or run.sent_at > chain[-1].ended_at:
             chain.append(run)
     return chain
 
@@ -79,7 +77,7 @@
     own = len(chains[request])
     return sum(
         all(
-            len(chains[other]) < own
+            len(chains.get(other, ())) < own
             for other in present[run.server]
             if other != request
         )
--- a/src/dykemast/_internal/operations/crash_runs.py
+++ b/src/dykemast/_internal/operations/crash_runs.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from dykemast._internal.operations.crash_chains import TRANSIT_TIME, Run
+from dykemast._internal.operations.crash_chains import Run
 from dykemast._internal.operations.crash_table import Crash, CrashTable
 
 #: Seconds within which ends count as one moment: what it takes until a loss of
@@ -78,4 +78,4 @@
     """
     first, last = sorted((crash, other), key=Crash.read_end)
     sent_at = last.sent_at.get(request)
-    return sent_at is not None and sent_at > first.ended_at - TRANSIT_TIME
+    return sent_at is not None and sent_at > first.ended_at
--- a/src/dykemast/_internal/serving/relay/attempts.py
+++ b/src/dykemast/_internal/serving/relay/attempts.py
@@ -74,7 +74,7 @@
         if server is None:
             raise self._refuse(before)
         self.tried.append(server.name)
-        send = Send(server, read_clock())
+        send = Send(server, read_clock(), self._identity)
         log_send(self._parts, self._ticket, send, len(self.tried))
         try:
             await deliver(send)
--- a/src/dykemast/_internal/serving/relay/crash_notes.py
+++ b/src/dykemast/_internal/serving/relay/crash_notes.py
@@ -9,7 +9,6 @@
     refute_crash,
 )
 from dykemast._internal.operations.crash_runs import MOMENT
-from dykemast._internal.operations.request_identity import RequestIdentity
 from dykemast._internal.serving.knowledge.backends import list_usable
 from dykemast._internal.serving.relay.sends import Send
 from dykemast._internal.serving.state.board import ServingBoard
@@ -25,16 +24,11 @@
 _SOURCE: Final = 'own'
 
 
-def note_whole(
-    board: ServingBoard,
-    send: Send,
-    identity: RequestIdentity,
-) -> None:
-    """Take note of an answer that came whole.
+def note_well(board: ServingBoard, send: Send) -> None:
+    """Take note of a run that came to its end, or has begun well.
 
     :param board: the blackboard.
     :param send: the send.
-    :param identity: of the request.
     """
     table = board.crashes
     if not table.crashes and table.is_empty():
@@ -42,7 +36,7 @@
     if refute_crash(table, send.server.name):
         _log('end_refuted', server=send.server.name)
         judge_anew(board, _SOURCE)
-    clear_request(board, identity.read(), send.server.name)
+    clear_request(board, send.identity.read(), send.server.name)
 
 
 def note_end(board: ServingBoard, name: str, service: str) -> None:
--- a/src/dykemast/_internal/serving/relay/crash_watch.py
+++ b/src/dykemast/_internal/serving/relay/crash_watch.py
@@ -10,7 +10,6 @@
 
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.operations.broken_sends import BrokenSend
-from dykemast._internal.operations.request_identity import RequestIdentity
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.relay.crash_notes import note_end
 from dykemast._internal.serving.relay.crash_probes import probe_server
@@ -30,14 +29,12 @@
     board: ServingBoard,
     send: Send,
     error: UpstreamError,
-    identity: RequestIdentity,
 ) -> None:
     """Take note of a send that failed.
 
     :param board: the blackboard.
     :param send: the send.
     :param error: how it failed.
-    :param identity: of the request.
     """
     server = send.server
     if server.name in board.leaving:
@@ -48,7 +45,7 @@
     if error.broken:
         now = read_clock()
         broken = BrokenSend(
-            server.name, identity.read(), send.sent_at, send.event_at, now
+            server.name, send.identity.read(), send.sent_at, send.event_at, now
         )
         board.broken.note(broken)
 
--- a/src/dykemast/_internal/serving/relay/pauses.py
+++ b/src/dykemast/_internal/serving/relay/pauses.py
@@ -1,6 +1,7 @@
 """Pauses between the events of one stream at one engine."""
 
 from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.relay.crash_notes import note_well
 from dykemast._internal.serving.relay.sends import Send
 from dykemast._internal.serving.requests.ticket import Ticket
 from dykemast._internal.utils.clock import read_clock
@@ -24,6 +25,7 @@
         send: Send,
     ) -> None:
         """Wait for the first event."""
+        self._board = parts.board
         self._pauses = parts.loads.pauses
         self._ticket = ticket
         self._send = send
@@ -34,10 +36,10 @@
     def note_event(self) -> None:
         """Note that an event has come."""
         now = read_clock()
-        if self._send.event_at is None:
-            self._send.event_at = now
-        else:
+        if self._send.event_at is not None:
             self._note_pause(now - self._last, now)
+        if self._send.note_event(now):
+            note_well(self._board, self._send)
         self._last = now
 
     def log_end(self, events: int) -> None:
--- a/src/dykemast/_internal/serving/relay/send_outcomes.py
+++ b/src/dykemast/_internal/serving/relay/send_outcomes.py
@@ -5,7 +5,7 @@
     note_absent,
     note_outcome,
 )
-from dykemast._internal.serving.relay.crash_notes import note_whole
+from dykemast._internal.serving.relay.crash_notes import note_well
 from dykemast._internal.serving.relay.crash_watch import note_break
 from dykemast._internal.serving.relay.exchange import Exchange
 from dykemast._internal.serving.relay.sends import Send
@@ -21,7 +21,7 @@
     :param send: the send.
     """
     note_outcome(exchange.parts, send.server, failed=False)
-    note_whole(exchange.parts.board, send, exchange.identity)
+    note_well(exchange.parts.board, send)
 
 
 def note_failure(
@@ -36,7 +36,7 @@
     :param error: how it failed.
     """
     note_outcome(exchange.parts, send.server, failed=True)
-    note_break(exchange.parts.board, send, error, exchange.identity)
+    note_break(exchange.parts.board, send, error)
     if error.absent:
         note_absent(exchange.parts, send.server)
     _log(
@@ -45,5 +45,5 @@
         server=send.server.name,
         may_have_run=error.sent,
         reason=str(error),
-        **send.describe_break(error, exchange.identity),
+        **send.describe_break(error),
     )
--- a/src/dykemast/_internal/serving/relay/sends.py
+++ b/src/dykemast/_internal/serving/relay/sends.py
@@ -4,6 +4,7 @@
 
 from dykemast._internal.exceptions import UpstreamError
 from dykemast._internal.models.backend import BackendServer
+from dykemast._internal.operations.broken_sends import BEGIN_TIME
 from dykemast._internal.operations.request_identity import RequestIdentity
 from dykemast._internal.serving.choice.choices import count_missing
 from dykemast._internal.serving.parts import Parts
@@ -19,25 +20,42 @@
     """A send that may be in progress.
 
     :param server: the server that has the request.
-    :param sent_at: seconds on the steady clock.
+    :param sent_at: seconds on the clock.
+    :param identity: of the request.
     """
 
-    def __init__(self, server: BackendServer, sent_at: float) -> None:
+    def __init__(
+        self,
+        server: BackendServer,
+        sent_at: float,
+        identity: RequestIdentity,
+    ) -> None:
         """Wait for the first event."""
         self.server = server
         self.sent_at = sent_at
+        self.identity = identity
         #: When its first event came.
         self.event_at: float | None = None
+        #: Whether events have come for a while.
+        self.began_well = False
 
-    def describe_break(
-        self,
-        error: UpstreamError,
-        identity: RequestIdentity,
-    ) -> dict[str, Any]:
+    def note_event(self, now: float) -> bool:
+        """Note that an event has come.
+
+        :param now: seconds on the clock.
+        :returns: whether this shows, for the first time, that the request does
+            not end a server that begins to run it.
+        """
+        if self.event_at is None:
+            self.event_at = now
+        is_first = not self.began_well and now - self.event_at > BEGIN_TIME
+        self.began_well = self.began_well or is_first
+        return is_first
+
+    def describe_break(self, error: UpstreamError) -> dict[str, Any]:
         """Describe what tells whether the request ended its server.
 
         :param error: how the send failed.
-        :param identity: of the request.
         :returns: fields for the log; none when no connection broke.
         """
         if not error.broken:
@@ -45,7 +63,7 @@
         now = read_clock()
         event_at = self.event_at
         return {
-            'same_as': identity.read(),
+            'same_as': self.identity.read(),
             'sent_s': round(now - self.sent_at, 3),
             'events_s': None if event_at is None else round(now - event_at, 3),
         }
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -8,6 +8,8 @@
 FIXED_SEED = 8
 FOREIGN_SEED = 1_000_003
 OVERSPENT_SEED = 611136
+#: A request that ends servers, routers that sleep and a loss of all of them.
+CRASH_SEED = 2_000_001
 
 
 def read_seeds() -> list[int]:
@@ -34,3 +36,7 @@
     # the silence, and what the engine made then was not charged; see
     # test_unread_events, which shows it each time.
     assert not run.run_seed(OVERSPENT_SEED).broken
+
+
+def test_a_seed_with_crashing_requests_keeps_the_promises() -> None:
+    assert not run.run_seed(CRASH_SEED).broken
--- /dev/null
+++ b/tests/lib/crash_days.py
@@ -0,0 +1,141 @@
+"""Days on which servers end, told to a table of crashes as routers would."""
+
+import random
+from typing import NamedTuple
+
+from dykemast._internal.models.crashes import ServerCrash, Suspect
+from dykemast._internal.operations.broken_sends import BEGIN_TIME
+from dykemast._internal.operations.crash_evidence import acquit, note_crash
+from dykemast._internal.operations.crash_judgement import review
+from dykemast._internal.operations.crash_table import CrashTable
+
+#: Seconds of a step, of a day, and until a server is back.
+STEP = 0.05
+DAY = 60.0
+DOWN_TIME = 3.0
+SERVERS = 9
+#: Routers judge anew every 0.2 s.
+STEPS_A_REVIEW = 4
+#: Seconds until a run brings events, and for which it goes on.
+READ_TIME = 0.3
+LONGEST_RUN = 5.0
+SERVICE = 'llm'
+
+
+class Day(NamedTuple):
+    """What happens on a day.
+
+    :param seed: of all draws.
+    :param asks: requests a second.
+    :param hot: share of them that are one and the same.
+    :param deaths: servers a second that end by themselves.
+    :param losses: seconds between two losses of all servers; 0 for none.
+    :param guilty: seconds between two asks of a request that ends servers; 0
+        for none.
+    """
+
+    seed: int
+    asks: float = 40
+    hot: float = 0.2
+    deaths: float = 0
+    losses: float = 0
+    guilty: float = 0
+
+
+class Run(NamedTuple):
+    """A request at a server."""
+
+    request: str
+    server: int
+    sent_at: float
+    ends_at: float
+
+
+GUILTY = 'guilty'
+#: Seconds from its send until a guilty request has ended its server.
+CRASH_TIME = 0.15
+
+
+class CrashDay:
+    """Plays a day; requests in quarantine are not sent.
+
+    :param day: what happens.
+    """
+
+    def __init__(self, day: Day) -> None:
+        self._day = day
+        self._chance = random.Random(day.seed)
+        self.table = CrashTable()
+        self._runs: list[Run] = []
+        self._down_until = dict.fromkeys(range(SERVERS), float())
+        self._starts = dict.fromkeys(range(SERVERS), 0)
+        self.condemned: set[str] = set()
+        self.guilty_ends = 0
+
+    def play(self) -> 'CrashDay':
+        for step in range(round(DAY / STEP)):
+            now = step * STEP
+            self._ask(now)
+            self._end_runs(now)
+            self._end_servers(now)
+            if not step % STEPS_A_REVIEW:
+                self.condemned.update(review(self.table, now))
+        return self
+
+    def _ask(self, now: float) -> None:
+        chance = self._chance
+        if chance.random() < self._day.asks * STEP:
+            is_hot = chance.random() < self._day.hot
+            name = 'hot' if is_hot else f'request-{chance.random()}'
+            lasts = chance.uniform(READ_TIME, LONGEST_RUN)
+            self._send(name, now, lasts)
+        if self._day.guilty and now % self._day.guilty < STEP:
+            self._send(GUILTY, now, CRASH_TIME)
+
+    def _send(self, request: str, now: float, lasts: float) -> None:
+        up = [one for one, until in self._down_until.items() if until <= now]
+        if up and request not in self.table.sentences:
+            server = self._chance.choice(up)
+            self._runs.append(Run(request, server, now, now + lasts))
+
+    def _end_runs(self, now: float) -> None:
+        for begun in self._runs:
+            if READ_TIME + BEGIN_TIME < now - begun.sent_at:
+                acquit(self.table, begun.request, now)
+        over = [one for one in self._runs if one.ends_at <= now]
+        for run in over:
+            if run.request == GUILTY and run in self._runs:
+                self.guilty_ends += 1
+                self._end_server(run.server, now)
+            elif run in self._runs:
+                self._runs.remove(run)
+                acquit(self.table, run.request, now)
+
+    def _end_servers(self, now: float) -> None:
+        day = self._day
+        for server in range(SERVERS):
+            if self._chance.random() < day.deaths * STEP / SERVERS:
+                self._end_server(server, now)
+        if day.losses and now and now % day.losses < STEP:
+            for server in range(SERVERS):
+                self._end_server(server, now)
+
+    def _end_server(self, server: int, now: float) -> None:
+        if self._down_until[server] > now:
+            return
+        ended = [one for one in self._runs if one.server == server]
+        self._runs = [one for one in self._runs if one.server != server]
+        up = sum(
+            until <= now or until == now + DOWN_TIME
+            for until in self._down_until.values()
+        )
+        self._down_until[server] = now + DOWN_TIME
+        self._starts[server] += 1
+        suspects = tuple(
+            Suspect(one.request, now - one.sent_at)
+            for one in ended
+            if now - one.sent_at - READ_TIME <= BEGIN_TIME
+        )
+        name = f'{server}/{self._starts[server]}'
+        crash = ServerCrash(name, 0, suspects, SERVICE, up - 1)
+        note_crash(self.table, crash, now)
--- /dev/null
+++ b/tests/lib/identities.py
@@ -0,0 +1,28 @@
+"""Requests as they are known again when they are asked anew."""
+
+from dykemast._internal.models.caller_request import CallerRequest
+from dykemast._internal.operations.request_identity import RequestIdentity
+
+REQUEST = CallerRequest(
+    request_id='any',
+    method='POST',
+    host='shop.example',
+    path='/a',
+    target='/a?b=c',
+    key='key',
+    patience=None,
+    headers=(),
+    prompt_tokens=0,
+    output_tokens=0,
+    prompt=(),
+    after_event='',
+)
+
+
+def make_identity(**fields: str) -> RequestIdentity:
+    return RequestIdentity(REQUEST._replace(**fields), 'joinville', b'body')
+
+
+def identify(workspace: str, body: bytes) -> RequestIdentity:
+    """Make the identity of a request by its caller and its body."""
+    return RequestIdentity(REQUEST, workspace, body)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -15,6 +15,10 @@
 #: Plans from this one on have entries of other writers, and servers that
 #: start again under their id.
 FIRST_WITH_FOREIGN = 1_000_000
+#: Plans from this one on have a request that ends servers, and machines that
+#: are suspended.
+FIRST_WITH_CRASHES = 2_000_000
+LAST_SEED = 3_000_000
 SERVERS = ('engine-0', 'engine-1', 'plain-0')
 STORE_FAULTS = ('away', 'silent', 'lose', 'deaf')
 CHANGES = ('raise', 'lower', 'routes')
@@ -26,6 +30,8 @@
     chance = random.Random(seed)
     if seed < FIRST_WITH_SERIES:
         return sorted(_draw_faults(chance, size, chance.randint(4, 9)))
+    if seed >= FIRST_WITH_CRASHES:
+        return sorted(_draw_crashes(chance, size))
     faults = _draw_faults(chance, size, chance.randint(0, 4))
     for _ in range(chance.randint(1, 2)):
         faults.extend(draw_series(chance, size))
@@ -34,6 +40,24 @@
     return sorted(faults)
 
 
+def _draw_crashes(chance: random.Random, size: Size) -> list[Fault]:
+    """Draw when a request ends servers, and which machines then sleep."""
+    faults = [Fault(chance.uniform(0.5, 1.5), 'crash', 'routers', '', 11)]
+    faults.extend(
+        _draw_sleep(chance, size) for _ in range(chance.randint(0, 3))
+    )
+    if chance.randrange(2):
+        at = chance.uniform(3, FAULT_TIME)
+        faults.append(Fault(at, 'kill_all', 'routers', '', 0.5))
+    return faults
+
+
+def _draw_sleep(chance: random.Random, size: Size) -> Fault:
+    router = f'node-{chance.randrange(size.routers)}'
+    at = chance.uniform(1, FAULT_TIME)
+    return Fault(at, 'freeze', router, '', chance.uniform(1.2, 3))
+
+
 def _draw_entry_faults(chance: random.Random) -> list[Fault]:
     return [
         Fault(
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -91,3 +91,20 @@
         self._turns[name] += 1
         self._stopping.discard(name)
         return self._turns[name]
+
+
+def freeze(
+    deployment: Deployment,
+    name: str,
+    end: End,
+    later: Callable[[Callable[[], None]], None],
+) -> None:
+    """Have a router stand still until ``later`` runs what it is given."""
+    process = deployment.processes.running[name]
+    process.send_signal(signal.SIGSTOP)
+
+    def thaw() -> None:
+        process.send_signal(signal.SIGCONT)
+        end()
+
+    later(thaw)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,7 +5,12 @@
 
 from tests.soak.callers import Callers
 from tests.soak.faults import Fault
-from tests.soak.plan import FAULT_TIME, FIRST_WITH_SERIES, make_plan
+from tests.soak.plan import (
+    FAULT_TIME,
+    FIRST_WITH_CRASHES,
+    FIRST_WITH_SERIES,
+    make_plan,
+)
 from tests.soak.probes import list_takers, read_servers, wait_served
 from tests.soak.promises import find_broken
 from tests.soak.reports import keep_logs, summarize
@@ -35,6 +40,9 @@
     """Play a seed."""
     plan = make_plan(seed, size)
     world = World(size, _choose_prepaid(seed))
+    if seed >= FIRST_WITH_CRASHES:
+        # A process that stands still is then a machine that is suspended.
+        world.deployment.router_module = 'tests.lib.suspended_router'
     world.start()
     witness = _watch(world, plan, Callers(world.deployment, seed, size.callers))
     broken = list(find_broken(witness))
--- /dev/null
+++ b/tests/unit/test_crash_news.py
@@ -0,0 +1,161 @@
+"""Routers come to the same knowledge of requests that end servers.
+
+An end counts once, whoever tells of it and however often: a count at each
+router, or a sum of what they tell, would have let 18 servers end with six
+routers, or condemned an innocent request that three of them told of.
+"""
+
+import random
+
+from dykemast._internal.models.crashes import (
+    CrashRecord,
+    ServerCrash,
+    Suspect,
+)
+from dykemast._internal.operations import crash_news
+from dykemast._internal.operations.crash_evidence import acquit, note_crash
+from dykemast._internal.operations.crash_judgement import (
+    QUARANTINE_TIME,
+    SETTLE_TIME,
+    review,
+)
+from dykemast._internal.operations.crash_keeping import (
+    list_superfluous,
+    list_unkept,
+)
+from dykemast._internal.operations.crash_records import take_record
+from dykemast._internal.operations.crash_table import KEEP_TIME, CrashTable
+from dykemast._internal.utils.packing import FAST, pack
+
+#: Seconds that news are under way.
+TRANSIT = 0.01
+#: Bytes of news that a crowd of crashes may add to those of one round.
+MAX_BYTES = 6000
+
+
+def note_end(table: CrashTable, server: str, now: float) -> None:
+    crash = ServerCrash(server, 0, (Suspect('a', 0.2),), 'llm', 8)
+    note_crash(table, crash, now)
+    review(table, now)
+
+
+def tell(teller: CrashTable, hearer: CrashTable, now: float) -> None:
+    told = crash_news.tell_crashes(teller, now)
+    if crash_news.take_crashes(hearer, told, now + TRANSIT):
+        review(hearer, now + TRANSIT)
+
+
+def spread(tables: list[CrashTable], now: float, rounds: int) -> float:
+    """Have each router tell three others in each round, as they do."""
+    chance = random.Random(1)
+    for _ in range(rounds):
+        now += 0.2
+        for teller in tables:
+            for hearer in chance.sample(tables, min(3, len(tables))):
+                tell(teller, hearer, now)
+    return now
+
+
+def test_ends_at_three_routers_condemn_at_all_within_two_seconds() -> None:
+    # 3 s are given; the last end settles for 1.5 s.
+    for count in (3, 8, 75, 195):
+        tables = [CrashTable() for _ in range(count)]
+        for place in range(3):
+            note_end(tables[place], f'server-{place}', 100 + place)
+        now = spread(tables, 102, 8)
+        assert now < 102 + 2
+        for table in tables:
+            review(table, now)
+        assert all('a' in table.sentences for table in tables), count
+
+
+def test_an_end_that_many_tell_of_counts_once() -> None:
+    tables = [CrashTable() for _ in range(6)]
+    for table in tables:
+        note_end(table, 'server', 100)
+    spread(tables, 100, 4)
+    assert {table.count_ends('a') for table in tables} == {1}
+
+
+def test_who_is_cleared_at_one_router_is_cleared_at_all() -> None:
+    tables = [CrashTable() for _ in range(6)]
+    for place in range(3):
+        note_end(tables[0], f'server-{place}', 100 + place)
+    now = spread(tables, 103, 4)
+    acquit(tables[5], 'a', now)
+    review(tables[5], now)
+    now = spread(tables, now, 6)
+    for table in tables:
+        review(table, now)
+    assert not any('a' in table.sentences for table in tables)
+
+
+def make_suspects(server: int) -> tuple[Suspect, ...]:
+    names = (f'{server}-{place}'.rjust(24, 'x') for place in range(100))
+    return tuple(Suspect(one, 0.2) for one in names)
+
+
+def test_news_of_many_crashes_are_bounded() -> None:
+    table = CrashTable()
+    for server in range(500):
+        suspects = make_suspects(server)
+        crash = ServerCrash(f'i-{server}', 0, suspects, 'llm', 44)
+        note_crash(table, crash, 100)
+    review(table, 100)
+    news = crash_news.tell_crashes(table, 100)
+    assert len(pack(news, FAST)) < MAX_BYTES
+    assert len(table.crashes) <= 256
+
+
+def find_record(table: CrashTable) -> CrashRecord:
+    return list_unkept(table)[0]
+
+
+def test_what_the_store_keeps_outlasts_a_loss_of_all_routers() -> None:
+    before = CrashTable()
+    for place in range(3):
+        note_end(before, f'server-{place}', 100 + place)
+    review(before, 102 + SETTLE_TIME)
+    after = CrashTable()
+    take_record(after, find_record(before), 7)
+    review(after, 7)
+    assert after.measure_quarantine('a', 7) == QUARANTINE_TIME
+    assert not list_unkept(after)
+
+
+def test_two_ends_before_a_loss_and_one_after_it_condemn() -> None:
+    before = CrashTable()
+    for place in range(2):
+        note_end(before, f'server-{place}', 100 + place)
+    after = CrashTable()
+    take_record(after, find_record(before), 7)
+    note_end(after, 'server-2', 8)
+    assert review(after, 8 + SETTLE_TIME) == ['a']
+
+
+def test_ends_in_the_store_and_in_news_are_the_same_ends() -> None:
+    before = CrashTable()
+    for place in range(2):
+        note_end(before, f'server-{place}', 100 + place)
+    record = find_record(before)
+    table = CrashTable()
+    take_record(table, record, 102)
+    tell(before, table, 102)
+    take_record(table, record, 103)
+    review(table, 103)
+    assert table.count_ends('a') == 2
+
+
+def test_one_end_alone_is_not_worth_a_write() -> None:
+    table = CrashTable()
+    note_end(table, 'server', 100)
+    assert not list_unkept(table)
+
+
+def test_what_counts_no_more_is_removed_from_the_store() -> None:
+    table = CrashTable()
+    take_record(table, CrashRecord('a', ('x', 'y'), 0), 100)
+    review(table, 100)
+    assert not list_superfluous(table)
+    review(table, 103 + KEEP_TIME)
+    assert list_superfluous(table) == ['a']
--- /dev/null
+++ b/tests/unit/test_quarantine_gate.py
@@ -0,0 +1,140 @@
+"""What a request meets that has ended servers, before it is sent.
+
+While nobody knew which request it was, each router let it on whenever it was
+asked, several at once, and repeated it at a second server by itself.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from dykemast._internal.models.crashes import ServerCrash, Suspect
+from dykemast._internal.operations.broken_sends import BrokenSend
+from dykemast._internal.operations.crash_evidence import note_crash
+from dykemast._internal.operations.crash_judgement import (
+    QUARANTINE_TIME,
+    SETTLE_TIME,
+    review,
+)
+from dykemast._internal.serving.admission import quarantine
+from dykemast._internal.serving.requests import refusals
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.utils.clock import read_clock
+from tests.lib.identities import identify, make_identity
+from tests.lib.serving_boards import make_board, make_boards
+
+
+def know_all(board: ServingBoard) -> ServingBoard:
+    board.crashes.asked_at = read_clock()
+    return board
+
+
+def note_ends(board: ServingBoard, count: int, ago: float = 2) -> None:
+    """Note servers that ended one after another under the request."""
+    now = read_clock()
+    suspects = (Suspect(make_identity().read(), ago + 0.1),)
+    for place in range(count):
+        age = ago + count - place
+        crash = ServerCrash(
+            f'server-{place}', age, (suspects[0]._replace(sent_age=age + 0.1),)
+        )
+        note_crash(board.crashes, crash, now)
+    review(board.crashes, now)
+
+
+@contextmanager
+def expect_refusal(code: refusals.RefusalCode) -> Iterator[list[float]]:
+    """Expect a refusal, and tell after what time to come back."""
+    told: list[float] = []
+    try:
+        yield told
+    except refusals.RefusedError as error:
+        assert error.code is code
+        assert error.retry_after
+        told.append(error.retry_after)
+        return
+    raise AssertionError('it was let on')
+
+
+def test_the_same_request_is_known_by_what_a_server_runs() -> None:
+    same = make_identity(request_id='other', key='second', patience='1')
+    assert same.read() == make_identity().read()
+    others = (
+        make_identity(method='PUT'),
+        make_identity(host='other.example'),
+        make_identity(target='/a?b=d'),
+        identify('curitiba', b'body'),
+        identify('joinville', b'other'),
+        identify('joinvilleb', b'ody'),
+    )
+    digests = {one.read() for one in others}
+    assert len(digests) == len(others)
+    assert same.read() not in digests
+
+
+def test_a_router_that_does_not_know_yet_lets_nothing_on() -> None:
+    board = make_board()
+    with expect_refusal(refusals.RefusalCode.not_current):
+        quarantine.check_quarantine(board, make_identity())
+    quarantine.check_quarantine(know_all(board), make_identity())
+
+
+def test_a_request_in_quarantine_is_refused_and_others_are_not() -> None:
+    board = know_all(make_board())
+    note_ends(board, 3)
+    with expect_refusal(refusals.RefusalCode.quarantined) as told:
+        quarantine.check_quarantine(board, make_identity())
+    assert QUARANTINE_TIME - 60 < told[0] <= QUARANTINE_TIME
+    quarantine.check_quarantine(board, make_identity(target='/b'))
+
+
+def test_it_stays_away_while_its_third_end_settles() -> None:
+    board = know_all(make_board())
+    note_ends(board, 3, ago=-0.5)
+    with expect_refusal(refusals.RefusalCode.quarantined) as told:
+        quarantine.check_quarantine(board, make_identity())
+    assert told[0] < SETTLE_TIME
+
+
+def test_after_two_ends_it_runs_alone() -> None:
+    board = know_all(make_board())
+    note_ends(board, 2)
+    identity = make_identity()
+    with quarantine.pass_gate(board, identity):
+        assert quarantine.is_on_trial(board, identity)
+        with expect_refusal(refusals.RefusalCode.quarantined):
+            with quarantine.pass_gate(board, identity):
+                raise AssertionError('two at once')
+    with quarantine.pass_gate(board, identity):
+        assert board.trials
+
+
+def test_a_send_that_just_broke_off_counts_before_its_cause_is_known() -> None:
+    board = know_all(make_board())
+    note_ends(board, 1)
+    identity = make_identity()
+    assert not quarantine.is_on_trial(board, identity)
+    now = read_clock()
+    board.broken.note(BrokenSend('server', identity.read(), now, None, now))
+    assert quarantine.is_on_trial(board, identity)
+
+
+def test_when_a_quarantine_is_over_one_router_alone_tries() -> None:
+    boards = [know_all(board) for board in make_boards(5)]
+    let_on = 0
+    for board in boards:
+        note_ends(board, 3)
+        request = make_identity().read()
+        sentence = board.crashes.sentences[request]
+        board.crashes.sentences[request] = sentence._replace(
+            until=read_clock() - 1
+        )
+        let_on += is_let_on(board)
+    assert let_on == 1
+
+
+def is_let_on(board: ServingBoard) -> bool:
+    try:
+        quarantine.check_quarantine(board, make_identity())
+    except refusals.RefusedError:
+        return False
+    return True
--- a/tests/unit/test_soak_promises.py
+++ b/tests/unit/test_soak_promises.py
@@ -277,3 +277,12 @@
     others = [make_seen(at=20) for _ in range(15)]
     assert not judge(*streams, arrivals=at_engines)
     assert judge(*others, arrivals=at_engines)
+
+
+def test_a_request_that_goes_on_to_end_servers_is_seen() -> None:
+    ends = [Event('ended', PLAIN, at, at) for at in (10, 11, 12)]
+    late = [Event('ended', ENGINE, at, at) for at in (17, 18, 19)]
+    assert not judge(make_seen(), events=[*ends, *late])
+    more = Event('ended', PLAIN, 20, 20)
+    storm = judge(make_seen(), events=[*ends, *late, more])
+    assert storm == ['4 servers ended long after the third, 7 in all']
