--- a/tests/unit/test_crash_news.py
+++ b/tests/unit/test_crash_news.py
@@ -108,7 +108,9 @@
 
 
 def find_record(table: CrashTable) -> CrashRecord:
-    return list_unkept(table)[0]
+    records = list_unkept(table)
+    assert records, 'the store has to keep it'
+    return records[0]
 
 
 def test_what_the_store_keeps_outlasts_a_loss_of_all_routers() -> None:
--- /dev/null
+++ b/tools/crash_mutations.py
@@ -0,0 +1,114 @@
+"""Rules on requests that end servers, and on time, each broken on purpose."""
+
+from typing import Final
+
+from tools.mutation import Mutation
+
+_INTERNAL: Final = 'dykemast/_internal'
+_OPERATIONS: Final = f'{_INTERNAL}/operations'
+_FLEET: Final = 'a request that ends servers is known to the fleet'
+_INNOCENT: Final = 'innocent requests are never condemned'
+_AGES: Final = 'time asleep counts'
+_JUDGEMENT: Final = 'test_crash_judgement'
+_NEWS: Final = 'test_crash_news'
+_GATE: Final = 'test_quarantine_gate'
+
+#: Mutations of these rules.
+CRASH_MUTATIONS: Final = (
+    Mutation(
+        'count ends at one moment one by one',
+        _INNOCENT,
+        f'{_OPERATIONS}/crash_chains.py',
+        'if not chain or run.sent_at > chain[-1].ended_at:',
+        'if not chain or run.sent_at:',
+        _JUDGEMENT,
+    ),
+    Mutation(
+        'blame whoever was there',
+        _INNOCENT,
+        f'{_OPERATIONS}/crash_judgement.py',
+        'return unexplained >= GUILTY_UNEXPLAINED',
+        'return unexplained >= 0',
+        _JUDGEMENT,
+    ),
+    Mutation(
+        'blame who had run well for a while',
+        _INNOCENT,
+        f'{_OPERATIONS}/broken_sends.py',
+        'return self.broken_at - self.event_at <= BEGIN_TIME',
+        'return self.broken_at >= self.event_at',
+        _JUDGEMENT,
+    ),
+    Mutation(
+        'blame a hot question for a loss of all servers',
+        _INNOCENT,
+        f'{_OPERATIONS}/crash_runs.py',
+        'return at_once >= crash.others',
+        'return at_once > crash.others',
+        _JUDGEMENT,
+    ),
+    Mutation(
+        'count an end though its server answers',
+        _INNOCENT,
+        f'{_OPERATIONS}/crash_runs.py',
+        'if crash.refuted:',
+        'if not crash.sent_at:',
+        _JUDGEMENT,
+    ),
+    Mutation(
+        'begin to settle anew with each end',
+        _FLEET,
+        f'{_OPERATIONS}/crash_judgement.py',
+        'return ended_at[GUILTY_ENDS - 1]',
+        'return ended_at[-1]',
+        _JUDGEMENT,
+    ),
+    Mutation(
+        'keep what others tell for oneself',
+        _FLEET,
+        f'{_OPERATIONS}/crash_news.py',
+        'changes = [note_crash(table, one, now) for one in news.crashes]',
+        'changes = [bool(one) for one in news.crashes]',
+        _NEWS,
+    ),
+    Mutation(
+        'forget two ends in a loss of all routers',
+        _FLEET,
+        f'{_OPERATIONS}/crash_keeping.py',
+        'if len(chain) >= KEPT_ENDS',
+        'if len(chain) > KEPT_ENDS',
+        _NEWS,
+    ),
+    Mutation(
+        'serve before having asked',
+        _FLEET,
+        f'{_INTERNAL}/serving/admission/quarantine.py',
+        'if not knows_all(board):',
+        'if board.stopping and not knows_all(board):',
+        _GATE,
+    ),
+    Mutation(
+        'run several at once on trial',
+        _FLEET,
+        f'{_INTERNAL}/serving/admission/quarantine.py',
+        'if request in board.trials:',
+        'if not request:',
+        _GATE,
+    ),
+    Mutation(
+        'try at all routers when a quarantine is over',
+        _FLEET,
+        f'{_INTERNAL}/serving/admission/quarantine.py',
+        'if not left and not _has_duty(board, request):',
+        'if not left and not request:',
+        _GATE,
+    ),
+    Mutation(
+        'read a clock that stops while the machine sleeps',
+        _AGES,
+        f'{_INTERNAL}/utils/clock.py',
+        "_CLOCK: Final = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)",
+        '_CLOCK: Final = time.CLOCK_PROCESS_CPUTIME_ID',
+        'test_suspended_routers',
+    ),
+)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from tools.crash_mutations import CRASH_MUTATIONS
 from tools.fleet_mutations import FLEET_MUTATIONS
 from tools.load_mutations import LOAD_MUTATIONS
 from tools.mutation import Mutation
@@ -69,6 +70,7 @@
 MUTATIONS: Final = (
     *LEDGER_MUTATIONS,
     *FLEET_MUTATIONS,
+    *CRASH_MUTATIONS,
     *SERVING_MUTATIONS,
     *STOP_MUTATIONS,
     *LOAD_MUTATIONS,
