Standard terms for quarantine; a record that cannot be read lifts nothing

Cause: reading the diff as a newcomer: words of a court for a quarantine, a function nobody calls, records as lists without names; and a record of another writer that could not be read cleared its request. Change: names only, but for these: records have named fields, and an unreadable one changes nothing.

--- a/src/dykemast/_internal/models/crashes.py
+++ b/src/dykemast/_internal/models/crashes.py
@@ -33,7 +33,7 @@
     refuted: bool = False
 
 
-class Acquittal(NamedTuple):
+class Clearance(NamedTuple):
     """A request that ran to its end.
 
     :param request: digest by which it is known again.
@@ -51,27 +51,27 @@
     :param age: seconds since this was decided.
     :param seconds: for how long it still holds; 0 when it is over, and the
         next run decides.
-    :param strikes: how often it was decided.
+    :param terms: how often it was decided.
     """
 
     request: str
     age: float
     seconds: float
-    strikes: int
+    terms: int
 
 
 class CrashNews(NamedTuple):
     """All that one router tells of crashes.
 
     :param crashes: servers that ended.
-    :param acquittals: requests that were under suspicion and are not.
+    :param clearances: requests that were under suspicion and are not.
     :param quarantines: requests that are not sent.
     :param complete: whether it has asked the store, or another router, for
         all there is since it was last away.
     """
 
     crashes: tuple[ServerCrash, ...] = ()
-    acquittals: tuple[Acquittal, ...] = ()
+    clearances: tuple[Clearance, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
     complete: bool = False
 
@@ -81,12 +81,12 @@
 
     :param request: digest by which it is known again.
     :param servers: starts of servers that ended under it, one after another.
-    :param strikes: how often it was quarantined.
+    :param terms: how often it was quarantined.
     """
 
     request: str
     servers: tuple[str, ...]
-    strikes: int
+    terms: int
 
     def covers(self, other: 'CrashRecord') -> bool:
         """Tell whether this says all that another record says.
@@ -94,6 +94,6 @@
         :param other: of the same request.
         :returns: whether it does.
         """
-        return self.strikes >= other.strikes and set(self.servers).issuperset(
+        return self.terms >= other.terms and set(self.servers).issuperset(
             other.servers
         )
--- a/src/dykemast/_internal/operations/crash_chains.py
+++ b/src/dykemast/_internal/operations/crash_chains.py
@@ -14,8 +14,8 @@
   explained by it;
 - a run that comes to its end, or brings events for a while, clears the request.
 
-In a play of a dozen ends within 14 s an innocent request ran on three of the
-servers; it is cleared by the first rule in two of the three.
+When one request ended a dozen servers within 14 s, another ran on three of
+these; the first rule leaves it under suspicion for one of the three.
 """
 
 import operator
@@ -36,10 +36,6 @@
     ended_at: float
 
 
-#: Runs by request, and for each server that ended the requests there.
-RunsByRequest = Mapping[str, Iterable[Run]]
-
-
 def find_chain(runs: Iterable[Run]) -> list[Run]:
     """Find the longest row of runs that ended servers one after another.
 
@@ -53,15 +49,6 @@
     return chain
 
 
-def find_chains(runs: RunsByRequest) -> dict[str, list[Run]]:
-    """Find the chains of all requests.
-
-    :param runs: by request.
-    :returns: by request.
-    """
-    return {request: find_chain(ended) for request, ended in runs.items()}
-
-
 def count_unexplained(
     request: str,
     chains: Mapping[str, list[Run]],
--- a/src/dykemast/_internal/operations/crash_evidence.py
+++ b/src/dykemast/_internal/operations/crash_evidence.py
@@ -40,7 +40,7 @@
     return True
 
 
-def acquit(table: CrashTable, request: str, now: float) -> bool:
+def clear(table: CrashTable, request: str, now: float) -> bool:
     """Clear a request of all that is known of it until now.
 
     :param table: what is known.
@@ -48,9 +48,9 @@
     :param now: seconds.
     :returns: whether anything was.
     """
-    if request not in table.chains and request not in table.sentences:
+    if request not in table.chains and request not in table.quarantines:
         return False
-    table.acquitted[request] = now
+    table.cleared[request] = now
     return True
 
 
--- a/src/dykemast/_internal/operations/crash_keeping.py
+++ b/src/dykemast/_internal/operations/crash_keeping.py
@@ -10,8 +10,8 @@
 from dykemast._internal.operations.crash_records import MAX_SERVERS
 from dykemast._internal.operations.crash_table import CrashTable
 
-#: Ends from which on a request is kept: an end has many suspects, of whom the
-#: second leaves hardly any but guilty ones.
+#: Ends from which on a request is kept: one end has many suspects, of whom a
+#: second leaves hardly any but those that end servers.
 KEPT_ENDS: Final = 2
 
 
@@ -23,11 +23,11 @@
     :returns: the record.
     """
     chain = table.chains.get(request, [])
-    sentence = table.sentences.get(request)
+    term = table.quarantines.get(request)
     return CrashRecord(
         request,
         tuple(run.server for run in chain[-MAX_SERVERS:]),
-        sentence.strikes if sentence else 0,
+        term.terms if term else 0,
     )
 
 
@@ -37,7 +37,7 @@
     :param table: what is known.
     :returns: records.
     """
-    wanted = set(table.sentences)
+    wanted = set(table.quarantines)
     wanted.update(_list_repeated(table))
     records = [make_record(table, request) for request in wanted]
     return [one for one in records if not _is_kept(table, one)]
@@ -52,7 +52,7 @@
     return [
         request
         for request in table.kept
-        if request not in table.sentences and not table.count_ends(request)
+        if request not in table.quarantines and not table.count_ends(request)
     ]
 
 
--- a/src/dykemast/_internal/operations/crash_news.py
+++ b/src/dykemast/_internal/operations/crash_news.py
@@ -4,13 +4,13 @@
 from typing import Final
 
 from dykemast._internal.models.crashes import (
-    Acquittal,
+    Clearance,
     CrashNews,
     Quarantine,
 )
 from dykemast._internal.operations.crash_ends import DIGITS, tell_ends
 from dykemast._internal.operations.crash_evidence import note_crash
-from dykemast._internal.operations.crash_table import CrashTable, Sentence
+from dykemast._internal.operations.crash_table import CrashTable, QuarantineTerm
 
 #: Requests that are told of at once, of those that are cleared and of those in
 #: quarantine; the newest come first, and the store keeps all of the latter.
@@ -28,7 +28,7 @@
     """
     return CrashNews(
         tell_ends(table, now),
-        _tell_acquittals(table, now),
+        _tell_clearances(table, now),
         _tell_quarantines(table, now),
     )
 
@@ -42,7 +42,7 @@
     :returns: whether any of it was new.
     """
     changes = [note_crash(table, one, now) for one in news.crashes]
-    changes += [_take_acquittal(table, one, now) for one in news.acquittals]
+    changes += [_take_clearance(table, one, now) for one in news.clearances]
     changes += [take_quarantine(table, one, now) for one in news.quarantines]
     return any(changes)
 
@@ -56,47 +56,49 @@
     :returns: whether it is new.
     """
     decided_at = now - told.age
-    known = table.sentences.get(told.request)
-    if known and known.strikes >= told.strikes:
+    known = table.quarantines.get(told.request)
+    if known and known.terms >= told.terms:
         return False
-    if table.acquitted.get(told.request, decided_at - 1) >= decided_at:
+    if table.cleared.get(told.request, decided_at - 1) >= decided_at:
         return False
     until = now + told.seconds
-    table.sentences[told.request] = Sentence(decided_at, until, told.strikes)
+    table.quarantines[told.request] = QuarantineTerm(
+        decided_at, until, told.terms
+    )
     return True
 
 
-def _tell_acquittals(table: CrashTable, now: float) -> tuple[Acquittal, ...]:
+def _tell_clearances(table: CrashTable, now: float) -> tuple[Clearance, ...]:
     newest = sorted(
-        table.acquitted.items(), key=operator.itemgetter(1), reverse=True
+        table.cleared.items(), key=operator.itemgetter(1), reverse=True
     )
     return tuple(
-        Acquittal(request, round(now - cleared_at, DIGITS))
+        Clearance(request, round(now - cleared_at, DIGITS))
         for request, cleared_at in newest[:MAX_REQUESTS]
     )
 
 
-def _take_acquittal(table: CrashTable, told: Acquittal, now: float) -> bool:
+def _take_clearance(table: CrashTable, told: Clearance, now: float) -> bool:
     cleared_at = now - told.age
-    known = table.acquitted.get(told.request)
+    known = table.cleared.get(told.request)
     if known is not None and known >= cleared_at - SAME_RUN:
         return False
-    table.acquitted[told.request] = cleared_at
+    table.cleared[told.request] = cleared_at
     return True
 
 
 def _tell_quarantines(table: CrashTable, now: float) -> tuple[Quarantine, ...]:
     newest = sorted(
-        table.sentences.items(),
+        table.quarantines.items(),
         key=lambda pair: pair[1].decided_at,
         reverse=True,
     )
     return tuple(
         Quarantine(
             request,
-            round(now - sentence.decided_at, DIGITS),
-            round(max(0, sentence.until - now), DIGITS),
-            sentence.strikes,
+            round(now - term.decided_at, DIGITS),
+            round(max(0, term.until - now), DIGITS),
+            term.terms,
         )
-        for request, sentence in newest[:MAX_REQUESTS]
+        for request, term in newest[:MAX_REQUESTS]
     )
--- a/src/dykemast/_internal/operations/crash_records.py
+++ b/src/dykemast/_internal/operations/crash_records.py
@@ -1,7 +1,7 @@
 """Take over what the store keeps of requests that end servers."""
 
 from collections.abc import Iterator
-from typing import Final
+from typing import Any, Final, TypedDict
 
 import msgspec
 
@@ -13,7 +13,7 @@
     Suspect,
 )
 from dykemast._internal.operations.crash_evidence import note_crash
-from dykemast._internal.operations.crash_judgement import measure_term
+from dykemast._internal.operations.crash_review import measure_term
 from dykemast._internal.operations.crash_news import take_quarantine
 from dykemast._internal.operations.crash_table import CrashTable
 
@@ -21,6 +21,12 @@
 MAX_SERVERS: Final = 16
 
 
+class _HeldRecord(TypedDict):
+    request: str
+    servers: tuple[str, ...]
+    terms: int
+
+
 def take_record(table: CrashTable, record: CrashRecord, now: float) -> None:
     """Take over what the store holds of a request.
 
@@ -32,13 +38,13 @@
     :param now: seconds.
     """
     table.kept[record.request] = record
-    if record.request in table.acquitted:
+    if record.request in table.cleared:
         return
     for crash in _make_crashes(record):
         note_crash(table, crash, now)
-    if record.strikes:
-        term = measure_term(record.strikes)
-        decided = Quarantine(record.request, 0, term, record.strikes)
+    if record.terms:
+        term = measure_term(record.terms)
+        decided = Quarantine(record.request, 0, term, record.terms)
         take_quarantine(table, decided, now)
 
 
@@ -49,6 +55,15 @@
         yield ServerCrash(server, age, (Suspect(record.request, age),))
 
 
+def encode_record(record: CrashRecord) -> dict[str, Any]:
+    """Make what an object of the store holds.
+
+    :param record: the record.
+    :returns: fields by name, which operators can read.
+    """
+    return {**record._asdict(), 'servers': list(record.servers)}
+
+
 def decode_record(name: str, held: object) -> CrashRecord:
     """Read what an object of the store holds.
 
@@ -58,9 +73,10 @@
     :raises NotUsableError: when it makes no sense.
     """
     try:
-        record = msgspec.convert(held, CrashRecord)
+        fields = msgspec.convert(held, _HeldRecord)
     except msgspec.ValidationError as error:
         raise NotUsableError(f'a record of crashes: {error}') from error
-    if record.request != name or record.strikes < 0:
+    record = CrashRecord(**fields)
+    if record.request != name or record.terms < 0:
         raise NotUsableError('a record of crashes is of another request.')
     return record._replace(servers=record.servers[:MAX_SERVERS])
--- a/src/dykemast/_internal/operations/crash_retention.py
+++ b/src/dykemast/_internal/operations/crash_retention.py
@@ -20,9 +20,9 @@
     """
     limit = now - KEEP_TIME
     _forget_crashes(table, limit)
-    _forget_sentences(table, limit)
-    for request in _find_old(table.acquitted, limit, MAX_REQUESTS):
-        table.acquitted.pop(request)
+    _forget_quarantines(table, limit)
+    for request in _find_old(table.cleared, limit, MAX_REQUESTS):
+        table.cleared.pop(request)
 
 
 def _forget_crashes(table: CrashTable, limit: float) -> None:
@@ -31,20 +31,19 @@
         table.crashes.pop(server)
 
 
-def _forget_sentences(table: CrashTable, limit: float) -> None:
+def _forget_quarantines(table: CrashTable, limit: float) -> None:
     for cleared in _list_cleared(table):
-        table.sentences.pop(cleared)
-    until = {name: one.until for name, one in table.sentences.items()}
+        table.quarantines.pop(cleared)
+    until = {name: one.until for name, one in table.quarantines.items()}
     for over in _find_old(until, limit, MAX_REQUESTS):
-        table.sentences.pop(over)
+        table.quarantines.pop(over)
 
 
 def _list_cleared(table: CrashTable) -> list[str]:
     return [
         request
-        for request, sentence in table.sentences.items()
-        if table.acquitted.get(request, sentence.decided_at - 1)
-        >= sentence.decided_at
+        for request, term in table.quarantines.items()
+        if table.cleared.get(request, term.decided_at - 1) >= term.decided_at
     ]
 
 
--- a/src/dykemast/_internal/operations/crash_runs.py
+++ b/src/dykemast/_internal/operations/crash_runs.py
@@ -34,7 +34,7 @@
     crash = table.crashes[server]
     if crash.refuted:
         return []
-    cleared = table.acquitted
+    cleared = table.cleared
     return [
         request
         for request in crash.sent_at
--- a/src/dykemast/_internal/operations/crash_table.py
+++ b/src/dykemast/_internal/operations/crash_table.py
@@ -36,17 +36,17 @@
         return self.ended_at
 
 
-class Sentence(NamedTuple):
+class QuarantineTerm(NamedTuple):
     """A request that is not sent to servers.
 
     :param decided_at: seconds on the steady clock.
     :param until: when it may be tried again.
-    :param strikes: how often this was decided.
+    :param terms: how often this was decided.
     """
 
     decided_at: float
     until: float
-    strikes: int
+    terms: int
 
 
 class CrashTable:
@@ -62,11 +62,11 @@
         #: By name of the server's start.
         self.crashes: dict[str, Crash] = {}
         #: When requests last ran to their end.
-        self.acquitted: dict[str, float] = {}
+        self.cleared: dict[str, float] = {}
         #: Requests that are not sent.
-        self.sentences: dict[str, Sentence] = {}
+        self.quarantines: dict[str, QuarantineTerm] = {}
         #: Runs of each request under which servers ended one after another;
-        #: made by ``crash_judgement``.
+        #: made by ``crash_review``.
         self.chains: dict[str, list[Run]] = {}
         #: What the store is known to hold of requests.
         self.kept: dict[str, CrashRecord] = {}
@@ -87,7 +87,7 @@
 
         :returns: whether that is so.
         """
-        return not self.chains and not self.sentences
+        return not self.chains and not self.quarantines
 
     def count_ends(self, request: str) -> int:
         """Count the servers that ended under a request, one after another.
@@ -105,5 +105,5 @@
         :returns: seconds; 0 when it is over and the next run decides; None
             when there was none.
         """
-        sentence = self.sentences.get(request)
-        return max(0, sentence.until - now) if sentence else None
+        term = self.quarantines.get(request)
+        return max(0, term.until - now) if term else None
--- a/src/dykemast/_internal/serving/admission/quarantine.py
+++ b/src/dykemast/_internal/serving/admission/quarantine.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from dykemast._internal.operations.crash_judgement import measure_settling
+from dykemast._internal.operations.crash_review import measure_settling
 from dykemast._internal.operations.rendezvous import choose_keeper
 from dykemast._internal.operations.request_identity import RequestIdentity
 from dykemast._internal.serving.requests.refusals import (
@@ -20,7 +20,7 @@
 from dykemast._internal.utils.clock import read_clock
 
 #: Ends of servers from which on a request runs alone: it is not repeated, and
-#: a router has one of it in progress. The next end condemns it.
+#: a router has one of it in progress. The next end decides.
 TRIAL_ENDS: Final = 2
 #: Seconds after which a caller may come back while the same request is on
 #: trial: longer than a server that it ends takes to be noticed.
@@ -100,7 +100,7 @@
 
 
 def is_on_trial(board: ServingBoard, identity: RequestIdentity) -> bool:
-    """Tell whether the next end of a server condemns a request.
+    """Tell whether the next end of a server decides about a request.
 
     :param board: the blackboard.
     :param identity: of the request.
@@ -111,7 +111,7 @@
     request = identity.read()
     # What broke off a moment ago may turn out to be the end of a server.
     ends = board.crashes.count_ends(request) + board.broken.count_of(request)
-    return ends >= TRIAL_ENDS or request in board.crashes.sentences
+    return ends >= TRIAL_ENDS or request in board.crashes.quarantines
 
 
 def _has_duty(board: ServingBoard, request: str) -> bool:
--- a/src/dykemast/_internal/serving/knowledge/crash_objects.py
+++ b/src/dykemast/_internal/serving/knowledge/crash_objects.py
@@ -2,14 +2,15 @@
 
 from typing import Final
 
-import msgspec
-
 from dykemast._internal.exceptions import (
     NotUsableError,
     VersionConflictError,
 )
 from dykemast._internal.models.crashes import CrashRecord
-from dykemast._internal.operations.crash_records import decode_record
+from dykemast._internal.operations.crash_records import (
+    decode_record,
+    encode_record,
+)
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.platform.store_types import StoreObject
 
@@ -24,8 +25,7 @@
     :param record: the record.
     :raises PlatformError: when it failed.
     """
-    held = msgspec.to_builtins(record)
-    created = StoreObject(record.request, 0, held)
+    created = StoreObject(record.request, 0, encode_record(record))
     try:
         await store.write(RECORD_KIND, created)
     except VersionConflictError as conflict:
--- a/src/dykemast/_internal/serving/knowledge/crash_records.py
+++ b/src/dykemast/_internal/serving/knowledge/crash_records.py
@@ -15,7 +15,7 @@
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.state.quarantines import (
     clear_request,
-    judge_anew,
+    review_crashes,
     knows_all,
 )
 from dykemast._internal.utils.clock import read_clock
@@ -40,13 +40,16 @@
     def take_object(stored: StoreObject) -> None:
         record = crash_records.decode_record(stored.name, stored.spec)
         crash_records.take_record(board.crashes, record, read_clock())
-        judge_anew(board, _SOURCE)
+        review_crashes(board, _SOURCE)
 
     def drop_object(name: str) -> None:
         # An operator lifts a quarantine so, and routers clear up.
         board.crashes.kept.pop(name, None)
         clear_request(board, name, _SOURCE)
 
+    def ignore_object(_: str) -> None:
+        """Change nothing: what cannot be read says nothing of a request."""
+
     def take_names(_: set[str]) -> None:
         """Drop nothing: what was written meanwhile is not in a listing."""
 
@@ -58,7 +61,7 @@
         take_object,
         take_names,
         drop_object,
-        drop_object,
+        ignore_object,
         note_revision,
         WATCH_PAUSE,
         told={},
--- a/src/dykemast/_internal/serving/knowledge/crash_writes.py
+++ b/src/dykemast/_internal/serving/knowledge/crash_writes.py
@@ -16,7 +16,7 @@
     write_record,
 )
 from dykemast._internal.serving.state.board import ServingBoard, list_heard
-from dykemast._internal.serving.state.quarantines import judge_anew
+from dykemast._internal.serving.state.quarantines import review_crashes
 from dykemast._internal.utils.clock import read_clock
 from dykemast._internal.utils.events import make_logger
 
@@ -40,8 +40,8 @@
     since: dict[str, float] = {}
     while True:
         await asyncio.sleep(WRITE_PAUSE)
-        # An end condemns, and is forgotten, some time after it was noted.
-        judge_anew(board, 'time')
+        # An end decides, and is forgotten, some time after it was noted.
+        review_crashes(board, 'time')
         now = read_clock()
         unkept = list_unkept(board.crashes)
         since = {one.request: since.get(one.request, now) for one in unkept}
@@ -78,7 +78,7 @@
         'crash_record_written',
         same_as=record.request,
         servers=record.servers,
-        strikes=record.strikes,
+        terms=record.terms,
     )
 
 
--- a/src/dykemast/_internal/serving/process/description.py
+++ b/src/dykemast/_internal/serving/process/description.py
@@ -25,7 +25,7 @@
         'loops_failing': len(board.loops.list_failing(now)),
         'loop_late_s': round(board.watch.measure_lateness(now), 3),
         'requests_suspected': len(board.crashes.chains),
-        'requests_quarantined': len(board.crashes.sentences),
+        'requests_quarantined': len(board.crashes.quarantines),
         **_describe_ages(board),
     }
 
--- a/src/dykemast/_internal/serving/relay/crash_notes.py
+++ b/src/dykemast/_internal/serving/relay/crash_notes.py
@@ -14,7 +14,7 @@
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.state.quarantines import (
     clear_request,
-    judge_anew,
+    review_crashes,
 )
 from dykemast._internal.utils.clock import read_clock
 from dykemast._internal.utils.events import make_logger
@@ -35,7 +35,7 @@
         return
     if refute_crash(table, send.server.name):
         _log('end_refuted', server=send.server.name)
-        judge_anew(board, _SOURCE)
+        review_crashes(board, _SOURCE)
     clear_request(board, send.identity.read(), send.server.name)
 
 
@@ -60,7 +60,7 @@
         suspects=[one.request for one in crash.suspects],
     )
     if note_crash(board.crashes, crash, now):
-        judge_anew(board, _SOURCE)
+        review_crashes(board, _SOURCE)
 
 
 def _describe_end(
--- a/src/dykemast/_internal/serving/state/quarantines.py
+++ b/src/dykemast/_internal/serving/state/quarantines.py
@@ -1,9 +1,9 @@
-"""Requests in quarantine: judged anew when something is taken note of."""
+"""Requests in quarantine: reviewed when something is taken note of."""
 
 from dykemast._internal.models.crashes import CrashNews
 from dykemast._internal.operations import crash_news
-from dykemast._internal.operations.crash_evidence import acquit
-from dykemast._internal.operations.crash_judgement import review
+from dykemast._internal.operations.crash_evidence import clear
+from dykemast._internal.operations.crash_review import review
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.clock import read_clock
 from dykemast._internal.utils.events import make_logger
@@ -11,17 +11,17 @@
 _log = make_logger('crashes')
 
 
-def judge_anew(board: ServingBoard, source: str) -> None:
-    """Judge which requests are in quarantine, and log what is new.
+def review_crashes(board: ServingBoard, source: str) -> None:
+    """Review which requests are in quarantine, and log what is new.
 
     :param board: the blackboard.
     :param source: who told what was taken note of.
     """
     table = board.crashes
-    if not table.crashes and not table.sentences and not board.quarantined:
+    if not table.crashes and not table.quarantines and not board.quarantined:
         return
     review(table, read_clock())
-    quarantined = set(table.sentences)
+    quarantined = set(table.quarantines)
     for request in quarantined - board.quarantined:
         _log_quarantined(board, request, source)
     for request in board.quarantined - quarantined:
@@ -36,9 +36,9 @@
     :param request: its digest.
     :param source: who says that it ends no server.
     """
-    if acquit(board.crashes, request, read_clock()):
+    if clear(board.crashes, request, read_clock()):
         _log('request_cleared', same_as=request, source=source)
-        judge_anew(board, source)
+        review_crashes(board, source)
 
 
 def tell_crashes(board: ServingBoard) -> CrashNews:
@@ -86,17 +86,17 @@
     :param source: the peer.
     """
     if crash_news.take_crashes(board.crashes, news, read_clock()):
-        judge_anew(board, source)
+        review_crashes(board, source)
 
 
 def _log_quarantined(board: ServingBoard, request: str, source: str) -> None:
-    sentence = board.crashes.sentences[request]
+    term = board.crashes.quarantines[request]
     chain = board.crashes.chains.get(request, [])
     _log(
         'request_quarantined',
         same_as=request,
         servers=[run.server for run in chain],
-        strikes=sentence.strikes,
-        seconds=round(sentence.until - read_clock(), 1),
+        terms=term.terms,
+        seconds=round(term.until - read_clock(), 1),
         source=source,
     )
--- a/tests/lib/crash_days.py
+++ b/tests/lib/crash_days.py
@@ -5,8 +5,8 @@
 
 from dykemast._internal.models.crashes import ServerCrash, Suspect
 from dykemast._internal.operations.broken_sends import BEGIN_TIME
-from dykemast._internal.operations.crash_evidence import acquit, note_crash
-from dykemast._internal.operations.crash_judgement import review
+from dykemast._internal.operations.crash_evidence import clear, note_crash
+from dykemast._internal.operations.crash_review import review
 from dykemast._internal.operations.crash_table import CrashTable
 
 #: Seconds of a step, of a day, and until a server is back.
@@ -94,14 +94,14 @@
 
     def _send(self, request: str, now: float, lasts: float) -> None:
         up = [one for one, until in self._down_until.items() if until <= now]
-        if up and request not in self.table.sentences:
+        if up and request not in self.table.quarantines:
             server = self._chance.choice(up)
             self._runs.append(Run(request, server, now, now + lasts))
 
     def _end_runs(self, now: float) -> None:
         for begun in self._runs:
             if READ_TIME + BEGIN_TIME < now - begun.sent_at:
-                acquit(self.table, begun.request, now)
+                clear(self.table, begun.request, now)
         over = [one for one in self._runs if one.ends_at <= now]
         for run in over:
             if run.request == GUILTY and run in self._runs:
@@ -109,7 +109,7 @@
                 self._end_server(run.server, now)
             elif run in self._runs:
                 self._runs.remove(run)
-                acquit(self.table, run.request, now)
+                clear(self.table, run.request, now)
 
     def _end_servers(self, now: float) -> None:
         day = self._day
--- a/tests/unit/test_crash_news.py
+++ b/tests/unit/test_crash_news.py
@@ -13,8 +13,8 @@
     Suspect,
 )
 from dykemast._internal.operations import crash_news
-from dykemast._internal.operations.crash_evidence import acquit, note_crash
-from dykemast._internal.operations.crash_judgement import (
+from dykemast._internal.operations.crash_evidence import clear, note_crash
+from dykemast._internal.operations.crash_review import (
     QUARANTINE_TIME,
     SETTLE_TIME,
     review,
@@ -66,7 +66,7 @@
         assert now < 102 + 2
         for table in tables:
             review(table, now)
-        assert all('a' in table.sentences for table in tables), count
+        assert all('a' in table.quarantines for table in tables), count
 
 
 def test_an_end_that_many_tell_of_counts_once() -> None:
@@ -82,12 +82,12 @@
     for place in range(3):
         note_end(tables[0], f'server-{place}', 100 + place)
     now = spread(tables, 103, 4)
-    acquit(tables[5], 'a', now)
+    clear(tables[5], 'a', now)
     review(tables[5], now)
     now = spread(tables, now, 6)
     for table in tables:
         review(table, now)
-    assert not any('a' in table.sentences for table in tables)
+    assert not any('a' in table.quarantines for table in tables)
 
 
 def make_suspects(server: int) -> tuple[Suspect, ...]:
--- /dev/null
+++ b/tests/unit/test_crash_objects.py
@@ -0,0 +1,67 @@
+"""What the store tells of requests that end servers, and what it does not."""
+
+from typing import Any
+
+from dykemast._internal.platform.store_types import (
+    Changes,
+    Event,
+    Listing,
+    StoreObject,
+)
+from dykemast._internal.serving.knowledge import crash_records, follower
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.state.quarantines import knows_all
+from dykemast._internal.utils.clock import read_clock
+from tests.lib.serving_boards import make_board
+
+NAME = '5be1'
+
+
+def make_object(**fields: Any) -> StoreObject:
+    held = {'request': NAME, 'servers': ['a', 'b', 'c'], 'terms': 1, **fields}
+    return StoreObject(NAME, 3, held)
+
+
+def take(board: ServingBoard, stored: StoreObject, *, removed: bool) -> None:
+    following = crash_records.make_follower(board)
+    changes = Changes([Event(stored, removed)], 4)
+    follower.take_changes(following, changes)
+
+
+def test_a_record_quarantines_until_an_operator_removes_it() -> None:
+    board = make_board()
+    take(board, make_object(), removed=False)
+    assert board.quarantined == {NAME}
+    take(board, make_object(), removed=True)
+    assert not board.quarantined
+    # Read once more, as it was before: it stays lifted.
+    take(board, make_object(), removed=False)
+    assert not board.quarantined
+
+
+def test_what_cannot_be_read_neither_quarantines_nor_lifts() -> None:
+    for wrong in ({'servers': 5}, {'terms': 'x'}, {'request': 'other'}):
+        board = make_board()
+        take(board, make_object(**wrong), removed=False)
+        assert not board.quarantined
+        take(board, make_object(), removed=False)
+        take(board, make_object(**wrong), removed=False)
+        assert board.quarantined == {NAME}
+
+
+def test_a_router_that_stood_still_asks_anew() -> None:
+    board = make_board()
+    assert not knows_all(board)
+    board.crashes.asked_at = read_clock()
+    assert knows_all(board)
+    # The loop has not run for longer than others need to tell something.
+    board.watch.note(read_clock() - 5)
+    assert not knows_all(board)
+
+
+def test_a_listing_lifts_nothing_that_is_missing_in_it() -> None:
+    board = make_board()
+    take(board, make_object(), removed=False)
+    following = crash_records.make_follower(board)
+    follower.take_listing(following, Listing([], 9))
+    assert board.quarantined == {NAME}
--- a/tests/unit/test_crash_judgement.py
+++ b/tests/unit/test_crash_review.py
@@ -13,11 +13,11 @@
 from dykemast._internal.models.crashes import ServerCrash, Suspect
 from dykemast._internal.operations.broken_sends import BrokenSend
 from dykemast._internal.operations.crash_evidence import (
-    acquit,
+    clear,
     note_crash,
     refute_crash,
 )
-from dykemast._internal.operations.crash_judgement import (
+from dykemast._internal.operations.crash_review import (
     QUARANTINE_TIME,
     SETTLE_TIME,
     review,
@@ -54,7 +54,7 @@
 def test_three_ends_one_after_another_condemn_once_all_is_known() -> None:
     table = CrashTable()
     settled = note_ends(table, (ALONE, ALONE, ALONE))
-    assert not table.sentences, 'what else ended then is not known yet'
+    assert not table.quarantines, 'what else ended then is not known yet'
     assert review(table, settled) == ['a']
     assert table.measure_quarantine('a', settled) == QUARANTINE_TIME
 
@@ -62,7 +62,7 @@
 def test_two_ends_condemn_nobody() -> None:
     table = CrashTable()
     review(table, note_ends(table, (ALONE, ALONE)))
-    assert not table.sentences
+    assert not table.quarantines
 
 
 def test_who_was_with_the_guilty_one_each_time_but_once_goes_free() -> None:
@@ -81,13 +81,13 @@
     table = CrashTable()
     ends = (ALONE, ('b',), ('a', 'b'), ALONE, ('b',))
     review(table, note_ends(table, ends))
-    assert set(table.sentences) == {'a', 'b'}
+    assert set(table.quarantines) == {'a', 'b'}
 
 
 def test_a_run_that_comes_to_its_end_clears() -> None:
     table = CrashTable()
     settled = note_ends(table, 2 * [ALONE])
-    assert acquit(table, 'a', settled)
+    assert clear(table, 'a', settled)
     settled = note_ends(table, [ALONE], settled)
     assert not review(table, settled)
     assert table.count_ends('a') == 1
@@ -97,7 +97,7 @@
     table = CrashTable()
     settled = note_ends(table, THRICE)
     review(table, settled)
-    acquit(table, 'a', settled + 1)
+    clear(table, 'a', settled + 1)
     review(table, settled + 1)
     assert table.measure_quarantine('a', settled + 1) is None
 
@@ -197,5 +197,5 @@
 ) -> None:
     table = CrashTable()
     review(table, note_ends(table, ends))
-    for request in table.sentences:
+    for request in table.quarantines:
         assert sum(request in present for present in ends) >= 3
--- a/tests/unit/test_quarantine_gate.py
+++ b/tests/unit/test_quarantine_gate.py
@@ -10,7 +10,7 @@
 from dykemast._internal.models.crashes import ServerCrash, Suspect
 from dykemast._internal.operations.broken_sends import BrokenSend
 from dykemast._internal.operations.crash_evidence import note_crash
-from dykemast._internal.operations.crash_judgement import (
+from dykemast._internal.operations.crash_review import (
     QUARANTINE_TIME,
     SETTLE_TIME,
     review,
@@ -124,8 +124,8 @@
     for board in boards:
         note_ends(board, 3)
         request = make_identity().read()
-        sentence = board.crashes.sentences[request]
-        board.crashes.sentences[request] = sentence._replace(
+        term = board.crashes.quarantines[request]
+        board.crashes.quarantines[request] = term._replace(
             until=read_clock() - 1
         )
         let_on += is_let_on(board)
--- a/tools/crash_mutations.py
+++ b/tools/crash_mutations.py
@@ -9,7 +9,7 @@
 _FLEET: Final = 'a request that ends servers is known to the fleet'
 _INNOCENT: Final = 'innocent requests are never condemned'
 _AGES: Final = 'time asleep counts'
-_JUDGEMENT: Final = 'test_crash_judgement'
+_REVIEW: Final = 'test_crash_review'
 _NEWS: Final = 'test_crash_news'
 _GATE: Final = 'test_quarantine_gate'
 
@@ -21,15 +21,15 @@
         f'{_OPERATIONS}/crash_chains.py',
         'if not chain or run.sent_at > chain[-1].ended_at:',
         'if not chain or run.sent_at:',
-        _JUDGEMENT,
+        _REVIEW,
     ),
     Mutation(
         'blame whoever was there',
         _INNOCENT,
-        f'{_OPERATIONS}/crash_judgement.py',
-        'return unexplained >= GUILTY_UNEXPLAINED',
+        f'{_OPERATIONS}/crash_review.py',
+        'return unexplained >= UNEXPLAINED_ENDS',
         'return unexplained >= 0',
-        _JUDGEMENT,
+        _REVIEW,
     ),
     Mutation(
         'blame who had run well for a while',
@@ -37,7 +37,7 @@
         f'{_OPERATIONS}/broken_sends.py',
         'return self.broken_at - self.event_at <= BEGIN_TIME',
         'return self.broken_at >= self.event_at',
-        _JUDGEMENT,
+        _REVIEW,
     ),
     Mutation(
         'blame a hot question for a loss of all servers',
@@ -45,7 +45,7 @@
         f'{_OPERATIONS}/crash_runs.py',
         'return at_once >= crash.others',
         'return at_once > crash.others',
-        _JUDGEMENT,
+        _REVIEW,
     ),
     Mutation(
         'count an end though its server answers',
@@ -53,15 +53,15 @@
         f'{_OPERATIONS}/crash_runs.py',
         'if crash.refuted:',
         'if not crash.sent_at:',
-        _JUDGEMENT,
+        _REVIEW,
     ),
     Mutation(
         'begin to settle anew with each end',
         _FLEET,
-        f'{_OPERATIONS}/crash_judgement.py',
-        'return ended_at[GUILTY_ENDS - 1]',
+        f'{_OPERATIONS}/crash_review.py',
+        'return ended_at[QUARANTINE_ENDS - 1]',
         'return ended_at[-1]',
-        _JUDGEMENT,
+        _REVIEW,
     ),
     Mutation(
         'keep what others tell for oneself',
