Two red tests: who is always there at a service with one server

Traced in its lines: two slow questions and the request that ends the server were at all ends of the one server; none was told from the others until a record of the store, which names one alone, quarantined a slow one at all routers (324 refusals).

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -8,6 +8,8 @@
 FIXED_SEED = 8
 FOREIGN_SEED = 1_000_003
 OVERSPENT_SEED = 611136
+#: The same, at a service with one server that a slow question is always at.
+ONE_SERVER_SEED = 2_000_010
 #: A request that ends servers, routers that sleep and a loss of all of them.
 CRASH_SEED = 2_000_001
 
@@ -40,3 +42,10 @@
 
 def test_a_seed_with_crashing_requests_keeps_the_promises() -> None:
     assert not run.run_seed(CRASH_SEED).broken
+
+
+def test_a_seed_with_one_server_quarantines_no_other_request() -> None:
+    # Service was not back: 119 of 496 served, as two slow questions that are
+    # always under way beside the request that ends the server were quarantined
+    # by what the store keeps; see test_crash_news.
+    assert not run.run_seed(ONE_SERVER_SEED).broken
--- a/tests/unit/test_crash_news.py
+++ b/tests/unit/test_crash_news.py
@@ -161,3 +161,25 @@
     assert not list_superfluous(table)
     review(table, 103 + KEEP_TIME)
     assert list_superfluous(table) == ['a']
+
+
+def end_only_server(table: CrashTable, name: str, now: float) -> None:
+    both = (Suspect('slow', 0.2), Suspect('crash', 0.1))
+    note_crash(table, ServerCrash(name, 0, both, 'shop'), now)
+    review(table, now)
+
+
+def test_a_record_does_not_quarantine_who_was_there_each_time() -> None:
+    # A service with one server, where a slow question is always under way
+    # beside the request that ends it. While both are known to be there, neither
+    # is told from the other; what the store keeps names one alone, and that one
+    # was quarantined after its third end, for 10 minutes, at all routers.
+    before = CrashTable()
+    end_only_server(before, 'server-0', 100)
+    end_only_server(before, 'server-1', 102)
+    slow = [one for one in list_unkept(before) if one.request == 'slow']
+    after = CrashTable()
+    take_record(after, slow[0], 7)
+    end_only_server(after, 'server-2', 8)
+    review(after, 8 + SETTLE_TIME)
+    assert 'slow' not in after.quarantines
