Records of requests that end servers keep who else was there

Cause: what the store kept named one request alone. A slow question that was always under way beside the guilty one at a service with one server was then the only one in its record, and its next end quarantined it for 10 minutes at all routers. Second form, found by reading: records of two requests share servers, and each told another moment of the same end, so that the row of the guilty one, an end longer, was cut from three to two. Change: a record lists, by server, other requests whose own row of ends holds that server (8 at most); a server that is known keeps its moment. Records without the new field are read as before. Before: both unit tests fail (the listed one, and the new one of shared servers: row of 2 in place of 3).

--- a/src/dykemast/_internal/models/crashes.py
+++ b/src/dykemast/_internal/models/crashes.py
@@ -82,11 +82,22 @@
     :param request: digest by which it is known again.
     :param servers: starts of servers that ended under it, one after another.
     :param terms: how often it was quarantined.
+    :param beside: by server, other requests whose own row of ends it is in.
     """
 
     request: str
     servers: tuple[str, ...]
     terms: int
+    beside: tuple[tuple[str, ...], ...] = ()
+
+    def list_suspects(self, place: int) -> tuple[str, ...]:
+        """List who may have ended one of the servers.
+
+        :param place: of the server.
+        :returns: requests.
+        """
+        others = self.beside[place] if place < len(self.beside) else ()
+        return (self.request, *others)
 
     def covers(self, other: 'CrashRecord') -> bool:
         """Tell whether this says all that another record says.
@@ -94,6 +105,13 @@
         :param other: of the same request.
         :returns: whether it does.
         """
-        return self.terms >= other.terms and set(self.servers).issuperset(
-            other.servers
+        return self.terms >= other.terms and self._list_ends().issuperset(
+            other._list_ends()  # noqa: WPS437
         )
+
+    def _list_ends(self) -> set[tuple[str, str]]:
+        return {
+            (server, suspect)
+            for place, server in enumerate(self.servers)
+            for suspect in self.list_suspects(place)
+        }
--- a/src/dykemast/_internal/operations/crash_keeping.py
+++ b/src/dykemast/_internal/operations/crash_keeping.py
@@ -7,7 +7,10 @@
 from typing import Final
 
 from dykemast._internal.models.crashes import CrashRecord
-from dykemast._internal.operations.crash_records import MAX_SERVERS
+from dykemast._internal.operations.crash_records import (
+    MAX_BESIDE,
+    MAX_SERVERS,
+)
 from dykemast._internal.operations.crash_table import CrashTable
 
 #: Ends from which on a request is kept: one end has many suspects, of whom a
@@ -22,12 +25,14 @@
     :param request: its digest.
     :returns: the record.
     """
-    chain = table.chains.get(request, [])
+    chain = table.chains.get(request, [])[-MAX_SERVERS:]
+    servers = tuple(run.server for run in chain)
     term = table.quarantines.get(request)
     return CrashRecord(
         request,
-        tuple(run.server for run in chain[-MAX_SERVERS:]),
+        servers,
         term.terms if term else 0,
+        tuple(_list_beside(table, request, server) for server in servers),
     )
 
 
@@ -56,6 +61,22 @@
     ]
 
 
+def _list_beside(
+    table: CrashTable,
+    request: str,
+    server: str,
+) -> tuple[str, ...]:
+    # Without them, whoever was beside the guilty one each time would be alone
+    # in its own record, and guilty by it.
+    others = (
+        other
+        for other in _list_repeated(table)
+        if other != request
+        and any(run.server == server for run in table.chains[other])
+    )
+    return tuple(sorted(others)[:MAX_BESIDE])
+
+
 def _list_repeated(table: CrashTable) -> list[str]:
     return [
         request
--- a/src/dykemast/_internal/operations/crash_records.py
+++ b/src/dykemast/_internal/operations/crash_records.py
@@ -1,7 +1,8 @@
 """Take over what the store keeps of requests that end servers."""
 
+import math
 from collections.abc import Iterator
-from typing import Any, Final, TypedDict
+from typing import Any, Final, NotRequired, TypedDict
 
 import msgspec
 
@@ -19,12 +20,18 @@
 
 #: Servers that are believed of one record.
 MAX_SERVERS: Final = 16
+#: Other requests that are believed to have been at one of them.
+MAX_BESIDE: Final = 8
+
+
+_Names = tuple[str, ...]
 
 
 class _HeldRecord(TypedDict):
     request: str
     servers: tuple[str, ...]
     terms: int
+    beside: NotRequired[list[_Names]]
 
 
 def take_record(table: CrashTable, record: CrashRecord, now: float) -> None:
@@ -40,7 +47,7 @@
     table.kept[record.request] = record
     if record.request in table.cleared:
         return
-    for crash in _make_crashes(record):
+    for crash in _make_crashes(table, record, now):
         note_crash(table, crash, now)
     if record.terms:
         term = measure_term(record.terms)
@@ -48,11 +55,31 @@
         take_quarantine(table, decided, now)
 
 
-def _make_crashes(record: CrashRecord) -> Iterator[ServerCrash]:
-    count = len(record.servers)
+def _make_crashes(
+    table: CrashTable,
+    record: CrashRecord,
+    now: float,
+) -> Iterator[ServerCrash]:
+    ended_at = -math.inf
     for place, server in enumerate(record.servers):
-        age = float(count - place)
-        yield ServerCrash(server, age, (Suspect(record.request, age),))
+        known = table.crashes.get(server)
+        if known:
+            # Records of two requests share servers: all have to tell the same
+            # moment of an end, or the longer row of the two breaks.
+            ended_at = known.ended_at
+        else:
+            assumed_at = now - (len(record.servers) - place)
+            ended_at = max(assumed_at, (ended_at + now) / 2)
+        yield _make_crash(record, place, now - ended_at)
+
+
+def _make_crash(record: CrashRecord, place: int, age: float) -> ServerCrash:
+    suspects = record.list_suspects(place)
+    return ServerCrash(
+        record.servers[place],
+        age,
+        tuple(Suspect(request, age) for request in suspects),
+    )
 
 
 def encode_record(record: CrashRecord) -> dict[str, Any]:
@@ -61,7 +88,11 @@
     :param record: the record.
     :returns: fields by name, which operators can read.
     """
-    return {**record._asdict(), 'servers': list(record.servers)}
+    return {
+        **record._asdict(),
+        'servers': list(record.servers),
+        'beside': [list(others) for others in record.beside],
+    }
 
 
 def decode_record(name: str, held: object) -> CrashRecord:
@@ -79,4 +110,7 @@
     record = CrashRecord(**fields)
     if record.request != name or record.terms < 0:
         raise NotUsableError('a record of crashes is of another request.')
-    return record._replace(servers=record.servers[:MAX_SERVERS])
+    return record._replace(
+        servers=record.servers[:MAX_SERVERS],
+        beside=tuple(others[:MAX_BESIDE] for others in record.beside),
+    )
--- a/tests/unit/test_crash_news.py
+++ b/tests/unit/test_crash_news.py
@@ -183,3 +183,20 @@
     end_only_server(after, 'server-2', 8)
     review(after, 8 + SETTLE_TIME)
     assert 'slow' not in after.quarantines
+
+
+def test_records_that_share_servers_tell_of_the_same_ends() -> None:
+    # The record of the slow question was read first, and the guilty one's row,
+    # one end longer, was cut to two: the slow one alone had three then.
+    before = CrashTable()
+    end_only_server(before, 'server-0', 100)
+    end_only_server(before, 'server-1', 102)
+    first = {one.request: one for one in list_unkept(before)}
+    end_only_server(before, 'server-2', 104)
+    crash = {one.request: one for one in list_unkept(before)}['crash']
+    after = CrashTable()
+    take_record(after, first['slow'], 7)
+    take_record(after, crash, 7)
+    review(after, 7)
+    assert after.count_ends('crash') == 3
+    assert after.count_ends('slow') == 3
