Tests that fail: halls that are emptied, cold servers, homes

The stand-ins learn halls of servers and routers, objects that lie in the store from the start, cold starts of a service and homes of routes and workspaces.

--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from dykemast._internal.models.budget_ledger import BudgetLedger, LedgerRow
-from tests.lib.users_objects import make_configuration, make_server
+from tests.lib.users_objects import HALL, make_configuration, make_server
 from tests.lib.users_settings import make_settings
 from tools.calls import call
 from tools.polling import poll_until
@@ -34,6 +34,10 @@
         #: Ports that are listed or told instead of the real ones.
         self.listed_ports: dict[str, int] = {}
         self.store_ports: dict[str, int] = {}
+        #: Where servers and routers stand, when not where all others do.
+        self.halls: dict[str, str] = {}
+        #: Other objects that the store holds from the start.
+        self.objects: list[list[Any]] = []
         #: The program that routers run.
         self.router_module = 'dykemast.instance'
         self.names = [f'node-{number}' for number in range(routers)]
@@ -49,11 +53,12 @@
         return self
 
     def start_servers(self, configuration: Any) -> None:
-        put = [['config', 'main', configuration]]
+        put = [['config', 'main', configuration], *self.objects]
         for name, port in self.backend_ports.items():
             if name != 'store':
                 listed = self.listed_ports.get(name, port)
-                put.append(make_server(name, listed))
+                hall = self.halls.get(name, HALL)
+                put.append(make_server(name, listed, hall))
                 self.start_server(name)
         self._run_on_port(
             'store', 'tests.lib.object_store', '--put', json.dumps(put)
--- a/tests/lib/users_caller.py
+++ b/tests/lib/users_caller.py
@@ -60,10 +60,10 @@
     deployment: Deployment,
     path: str = '/stream/a',
     tokens: str = '100,20',
+    prompt: str = 'aa:60,bb:40',
     **options: str,
 ) -> Reply:
     """Ask for a stream of events."""
-    prompt = 'aa:60,bb:40'
     return send(
         deployment,
         path,
--- a/tests/lib/users_objects.py
+++ b/tests/lib/users_objects.py
@@ -5,6 +5,8 @@
 
 HOST = 'shop.example'
 KEY = 'key-of-joinville'
+#: Where servers and routers stand that no test puts elsewhere.
+HALL = 'joinville'
 
 
 def make_route(prefix: str, **fields: Any) -> dict[str, Any]:
@@ -49,6 +51,8 @@
     prepaid: int = 100_000,
     routes: tuple[dict[str, Any], ...] = ROUTES,
     keys: tuple[str, ...] = (KEY,),
+    engine_service: dict[str, Any] | None = None,
+    workspace: dict[str, Any] | None = None,
 ) -> dict[str, Any]:
     return {
         'version': version,
@@ -59,6 +63,7 @@
                 'healthPath': '/healthz',
                 'maxConns': 300,
                 'engine': {'slots': 8, 'kvCapacity': 50_000, 'stride': 1},
+                **(engine_service or {}),
             },
             {'name': 'shop', 'healthPath': '/healthz', 'maxConns': 90},
         ],
@@ -74,17 +79,18 @@
                 'apiKeys': list(keys),
                 'priority': 1,
                 'prepaid': prepaid,
+                **(workspace or {}),
             }
         ],
     }
 
 
-def make_server(name: str, port: int) -> list[Any]:
+def make_server(name: str, port: int, hall: str = HALL) -> list[Any]:
     service = 'llm' if name.startswith('engine') else 'shop'
     spec = {
         'service': service,
         'address': f'127.0.0.1:{port}',
-        'zone': 'joinville',
+        'zone': hall,
         'version': 'v1',
         'slots': 6,
         'state': 'ready',
@@ -113,6 +119,11 @@
     return [kind, name, {**spec, **FOREIGN[how]}]
 
 
+def make_evacuation(hall: str) -> list[Any]:
+    """Ask that nothing more goes to the servers of a hall."""
+    return ['evacuations', hall, {}]
+
+
 def make_next_start(server: str, spec: dict[str, Any]) -> list[Any]:
     """Make the entry of a server that has started again under its id."""
     born = spec.get('born', 1_000_000) + 1
--- a/tests/lib/users_settings.py
+++ b/tests/lib/users_settings.py
@@ -2,15 +2,24 @@
 
 from typing import Any
 
+from tests.lib.users_objects import HALL
+
+#: Milliseconds after which an evacuation is in force.
+EVACUATE_MS = 3000
+REGIONS = {'joinville': 'sul', 'curitiba': 'sul', 'cluj': 'norte'}
 TEMPLATE = """
 nodeName = "{name}"
 role = "router"
 machineClass = "edge"
 ip = "{host}"
-zone = "joinville"
-region = "sul"
+zone = "{hall}"
+region = "{region}"
 portRange = [{peer},{peer}]
 unknown = "ignored"
+[zones]
+joinville = "sul"
+curitiba = "sul"
+cluj = "norte"
 [listen]
 frontend = "{host}:{caller}"
 readiness = "{host}:{readiness}"
@@ -27,6 +36,7 @@
 budgetWindowS = 10
 ttl_max_s = 5
 configApplyMs = 2000
+evacuateMs = {evacuate_ms}
 [platform]
 address = "127.0.0.1:{store}"
 """
@@ -35,8 +45,12 @@
 def make_settings(deployment: Any, name: str) -> str:
     """Write the settings of one router of a deployment."""
     store = deployment.backend_ports['store']
+    hall = deployment.halls.get(name, HALL)
     return TEMPLATE.format(
         name=name,
+        hall=hall,
+        region=REGIONS[hall],
+        evacuate_ms=EVACUATE_MS,
         host=deployment.find_host(name),
         store=deployment.store_ports.get(name, store),
         **deployment.ports,
