Halls that are emptied, cold servers and homes: known, obeyed, told

Ruled out: that choice alone is the place: a request may wait for tokens after it (now tokens come first), and a repeat chooses anew. Change: - evacuations: a third kind of the store that is followed like the others, told in news and bounded in age (0.8 of what is promised); each decision asks the age; a router is not ready before it knows; refused at once, before any tokens are held, where no hall is left. Where the settings promise nothing, it is not read. - cold servers: entries tell for how long; those that lapsed and came back, and those of a hall that is taken back, count as cold until their entry says more. A few routers by rendezvous over the listed ones send there, each so seldom that all keep to the rate in any second; where all are cold, a request waits for a quarter of its objective at most, the urgent ones first, or is told when. - homes of routes and workspaces bind the choice of servers; entry answers name routers of the home, or of the caller's region.

--- a/src/dykemast/_internal/models/backend.py
+++ b/src/dykemast/_internal/models/backend.py
@@ -18,6 +18,7 @@
     :param leaving: whether it will end soon.
     :param born: Unix milliseconds of its start, where it tells them.
     :param sequence: count of its heartbeats since its start.
+    :param cold_left: seconds for which it was still cold when it told.
     """
 
     name: str
@@ -29,3 +30,15 @@
     leaving: bool
     born: int | None = None
     sequence: int | None = None
+    cold_left: float = 0
+
+
+class Evacuations(NamedTuple):
+    """Halls whose backend servers get no new requests.
+
+    :param revision: of the store, at which this was so; 0 for unknown.
+    :param halls: the halls.
+    """
+
+    revision: int = 0
+    halls: frozenset[str] = frozenset()
--- a/src/dykemast/_internal/models/deployment.py
+++ b/src/dykemast/_internal/models/deployment.py
@@ -1,5 +1,7 @@
 """What one process is told about its instance and the deployment."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 
@@ -43,6 +45,8 @@
     :param change_time: seconds after which a configuration is in force.
     :param leave_time: seconds after which a leaving backend server gets no
         new requests.
+    :param evacuate_time: seconds after which the servers of a hall that is
+        emptied get no new requests; None where halls are not emptied.
     """
 
     stop_timeout: float
@@ -52,6 +56,7 @@
     max_entry_ttl: float
     change_time: float = 2.0
     leave_time: float = 2.0
+    evacuate_time: float | None = None
 
 
 class Capacity(NamedTuple):
@@ -76,6 +81,7 @@
     :param max_connections: descriptors left for connections.
     :param capacity: what the instance gives this process.
     :param first_start: whether all instances start for the first time now.
+    :param regions: of the halls, by hall.
     """
 
     name: str
@@ -86,3 +92,4 @@
     max_connections: int
     capacity: Capacity
     first_start: bool = False
+    regions: Mapping[str, str] = MappingProxyType({})
--- a/src/dykemast/_internal/models/news.py
+++ b/src/dykemast/_internal/models/news.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from dykemast._internal.models.backend import Evacuations
 from dykemast._internal.models.crashes import CrashNews
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.models.long_pauses import LongPauses
@@ -101,6 +102,7 @@
     :param absent: backend servers that were found absent.
     :param pauses: long pauses of streams that it saw lately.
     :param crashes: servers that ended, and under which requests.
+    :param evacuations: halls that are being emptied.
     """
 
     card: PeerCard
@@ -114,3 +116,4 @@
     absent: tuple[AbsentServer, ...]
     pauses: tuple[LongPauses, ...] = ()
     crashes: CrashNews = CrashNews()
+    evacuations: Evacuations = Evacuations()
--- a/src/dykemast/_internal/operations/entry_choice.py
+++ b/src/dykemast/_internal/operations/entry_choice.py
@@ -1,6 +1,6 @@
 """Which routers callers are told to use, where these are unequal."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final, NamedTuple
 
 from dykemast._internal.models.deployment import Endpoint
@@ -19,15 +19,38 @@
 
     :param address: where it answers callers.
     :param strain: how much comes to it.
+    :param region: where it stands.
     """
 
     address: Endpoint
     strain: Strain
+    region: str = ''
 
 
 Sample = Callable[[Sequence[EntryOption], int], list[EntryOption]]
 
 
+def keep_homes(
+    options: Sequence[EntryOption],
+    homes: Iterable[frozenset[str]],
+    region: str,
+) -> Sequence[EntryOption]:
+    """Keep the routers that all routes of a host may be asked at.
+
+    :param options: routers that take requests.
+    :param homes: regions that the requests of each route stay in.
+    :param region: the caller's own, which is never too far.
+    :returns: routers of these regions; all while these have none, as such a
+        region is in trouble, and no router sends a request on to another.
+    """
+    kept = [
+        one
+        for one in options
+        if one.region == region or all(one.region in home for home in homes)
+    ]
+    return kept or options
+
+
 def choose_entries(
     options: Sequence[EntryOption],
     most: int,
--- a/src/dykemast/_internal/platform/configuration.py
+++ b/src/dykemast/_internal/platform/configuration.py
@@ -9,7 +9,7 @@
     hash_key,
 )
 from dykemast._internal.models.services import Engine, Limits, Service
-from dykemast._internal.platform.routes import decode_routes
+from dykemast._internal.platform.routes import decode_homes, decode_routes
 from dykemast._internal.platform.store_types import StoreObject
 
 #: Kind and name of the object.
@@ -65,7 +65,10 @@
     # Tenants are this project's workspaces.
     workspaces = {
         one['name']: Workspace(
-            one['name'], one.get('priority'), one.get('prepaid')
+            one['name'],
+            one.get('priority'),
+            one.get('prepaid'),
+            decode_homes(one),
         )
         for one in listed
     }
@@ -80,6 +83,8 @@
         name=fields['name'],
         max_connections=int(fields['maxConns']),
         engine=_decode_engine(fields.get('engine')),
+        cold_time=float(fields.get('coldStartS') or 0),
+        cold_rate=float(fields.get('coldPerS') or 0),
     )
 
 
--- a/src/dykemast/_internal/platform/entry_messages.py
+++ b/src/dykemast/_internal/platform/entry_messages.py
@@ -1,6 +1,6 @@
 """Questions of callers where to go, and their answers."""
 
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
 import msgspec
@@ -8,14 +8,26 @@
 from dykemast._internal.models.deployment import Endpoint
 
 
-def decode_entry_name(scope: Any) -> str:
-    """Decode the host name that a caller asks addresses for.
+class EntryQuestion(NamedTuple):
+    """What a caller asks addresses for.
+
+    :param host: host name; empty when there is none.
+    :param region: of the caller; empty when it does not say.
+    """
+
+    host: str
+    region: str
+
+
+def decode_entry_question(scope: Any) -> EntryQuestion:
+    """Decode what a caller asks addresses for.
 
     :param scope: ASGI scope.
-    :returns: the name; empty when there is none.
+    :returns: the question.
     """
     query = parse_qs(scope['query_string'].decode('latin-1'))
-    return query.get('name', [''])[0]
+    host = query.get('name', [''])[0]
+    return EntryQuestion(host.lower(), query.get('region', [''])[0])
 
 
 def encode_entry(addresses: list[Endpoint], ttl: float) -> bytes:
--- a/src/dykemast/_internal/platform/routes.py
+++ b/src/dykemast/_internal/platform/routes.py
@@ -46,9 +46,20 @@
         max_workers=int(fields.get('attempts', 1)),
         public=bool(fields.get('public')),
         resumable=bool(fields.get('resumable')),
+        homes=decode_homes(fields),
     )
 
 
+def decode_homes(fields: Document) -> frozenset[str] | None:
+    """Decode where the requests of a route or workspace have to stay.
+
+    :param fields: of the route or workspace.
+    :returns: regions; None where they may go anywhere.
+    """
+    regions = fields.get('allowedRegions')
+    return frozenset(regions) if regions else None
+
+
 def _decode_shares(fields: Document) -> tuple[Share, ...]:
     # A route names either one service or a split over several.
     split = fields.get('split')
--- a/src/dykemast/_internal/platform/servers.py
+++ b/src/dykemast/_internal/platform/servers.py
@@ -1,7 +1,7 @@
-"""Entries of backend servers in the store."""
+"""Entries of backend servers in the store, and of halls to be emptied."""
 
 import re
-from typing import Annotated, Final, Literal, NotRequired, TypedDict
+from typing import Annotated, Any, Final, Literal, NotRequired, TypedDict
 
 import msgspec
 
@@ -12,6 +12,9 @@
 
 #: Kind of these objects.
 SERVER_KIND: Final = 'servers'
+#: Kind of objects that ask that a hall's servers get nothing more, each by the
+#: name of its hall; what they hold says nothing else.
+EVACUATION_KIND: Final = 'evacuations'
 #: Requests at once that an entry may claim. A guard, by choice far above the 6
 #: to 32 of today's servers: one that claims more would be sent everything.
 MAX_SLOTS: Final = 100_000
@@ -22,9 +25,16 @@
 #: Characters of a name, and of an address; far more than users give.
 _MAX_WORD: Final = 200
 _READY: Final = 'ready'
+_MS: Final = 1000.0
+#: Milliseconds for which the server is still cold.
+_COLD_LEFT: Final = 'coldLeftMs'
+#: Seconds for which an entry may claim that its server is cold: one that
+#: claims more would get a trickle for ever.
+MAX_COLD: Final = 600.0
 
 _Word = Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_WORD)]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 
 class _Fields(TypedDict):
@@ -66,4 +76,9 @@
         leaving=fields['state'] != _READY,
         born=fields.get('born'),
         sequence=fields.get('sequence'),
+        cold_left=_decode_cold(stored.spec.get(_COLD_LEFT, 0)),
     )
+
+
+def _decode_cold(told: Any) -> float:
+    return min(MAX_COLD, msgspec.convert(told, _Milliseconds) / _MS)
--- a/src/dykemast/_internal/platform/settings.py
+++ b/src/dykemast/_internal/platform/settings.py
@@ -2,6 +2,7 @@
 
 import os
 import tomllib
+from types import MappingProxyType
 from typing import Any, Final
 
 from dykemast._internal.exceptions import Finding, InvalidFileError
@@ -66,6 +67,7 @@
         max_connections=reader.read('limits.maxFds', _count_connections),
         capacity=decode_capacity(reader),
         first_start=reader.read_or('bootstrap', bool, default=False),
+        regions=reader.read_or('zones', dict, MappingProxyType({})),
     )
     if reader.findings:
         raise InvalidFileError(reader.findings)
@@ -98,6 +100,7 @@
         leave_time=reader.read_or(
             'bounds.drainMs', _decode_ms, DEFAULT_PROMISE
         ),
+        evacuate_time=reader.read_or('bounds.evacuateMs', _decode_ms, None),
     )
 
 
--- a/src/dykemast/_internal/serving/admission/gates.py
+++ b/src/dykemast/_internal/serving/admission/gates.py
@@ -1,10 +1,15 @@
-"""Whether this router may decide about any request now."""
+"""Whether this router may let a request in, by what is known now."""
 
 from typing import Any, Final
 
 from dykemast._internal.operations.knowledge import Knowledge
+from dykemast._internal.serving.knowledge.backends import (
+    list_allowed,
+    list_usable,
+)
 from dykemast._internal.serving.knowledge.currency import (
     know_configuration,
+    know_evacuations,
     know_servers,
 )
 from dykemast._internal.serving.members.strain import has_free_peer
@@ -12,6 +17,7 @@
     RefusalCode,
     RefusedError,
 )
+from dykemast._internal.serving.requests.ticket import Ticket
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.clock import read_clock
 
@@ -26,6 +32,11 @@
 #: The same when the others get too much as well: by choice, some times what
 #: it takes until this loop is in time again.
 CROWDED_RETRY: Final = 0.5
+#: Seconds after which a caller may come back when the servers there are may not
+#: get its request: halls are emptied for longer than most callers wait.
+HALLS_RETRY: Final = 2.0
+#: The same when there are no servers at all, as at a start.
+SERVER_RETRY: Final = 0.4
 
 
 def check_gates(board: ServingBoard) -> None:
@@ -38,6 +49,49 @@
     _check_current(board)
 
 
+def check_evacuations(board: ServingBoard) -> None:
+    """Check that it is known which halls are being emptied.
+
+    :param board: the blackboard.
+    :raises RefusedError: when it is not.
+    """
+    known = know_evacuations(board)
+    if not known.may_serve():
+        raise refuse_for_now(known, of='evacuations')
+
+
+def check_servers(board: ServingBoard, ticket: Ticket) -> None:
+    """Check that a server may get a request, before anything is held for it.
+
+    :param board: the blackboard.
+    :param ticket: the request.
+    :raises RefusedError: when none may.
+    """
+    service = ticket.service.name
+    if list_allowed(board, service, ticket.list_homes()):
+        return
+    listed = bool(list_usable(board, service))
+    raise RefusedError(
+        RefusalCode.no_server,
+        describe_halls(board, ticket),
+        HALLS_RETRY if listed else SERVER_RETRY,
+    )
+
+
+def describe_halls(board: ServingBoard, ticket: Ticket) -> dict[str, Any]:
+    """Describe what bounds the servers that may get a request.
+
+    :param board: the blackboard.
+    :param ticket: the request.
+    :returns: fields for the log.
+    """
+    return {
+        'usable': len(list_usable(board, ticket.service.name)),
+        'emptied': sorted(board.evacuations.halls),
+        'homes': [sorted(homes) for homes in ticket.list_homes()],
+    }
+
+
 def refuse_for_now(known: Knowledge, **details: Any) -> RefusedError:
     """Refuse what better knowledge might allow.
 
@@ -76,3 +130,4 @@
     for known in (know_configuration(board), know_servers(board)):
         if not known.may_serve():
             raise refuse_for_now(known)
+    check_evacuations(board)
--- a/src/dykemast/_internal/serving/choice/choices.py
+++ b/src/dykemast/_internal/serving/choice/choices.py
@@ -13,7 +13,11 @@
 )
 from dykemast._internal.operations.prompt_homes import find_home
 from dykemast._internal.operations.rendezvous import choose_keeper
-from dykemast._internal.serving.knowledge.backends import list_usable
+from dykemast._internal.serving.choice.candidates import (
+    list_open,
+    list_untried,
+    note_chosen,
+)
 from dykemast._internal.serving.state.loads import measure_load
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.requests.ticket import Ticket
@@ -34,11 +38,19 @@
     :param apart: its digest, when a server has ended under it.
     :returns: a server, or nothing when there is none left.
     """
-    usable = [
-        server
-        for server in _list_present(parts, ticket)
-        if server.name not in tried
-    ]
+    usable = list_open(parts, ticket, list_untried(parts, ticket, tried))
+    server = _choose(parts, ticket, usable, apart)
+    if server:
+        note_chosen(parts, ticket, server)
+    return server
+
+
+def _choose(
+    parts: Parts,
+    ticket: Ticket,
+    usable: list[BackendServer],
+    apart: str,
+) -> BackendServer | None:
     if apart:
         return _choose_apart(usable, apart)
     if ticket.service.engine:
@@ -64,16 +76,6 @@
     return by_name[name] if name else None
 
 
-def _list_present(parts: Parts, ticket: Ticket) -> list[BackendServer]:
-    """List usable servers, without those found absent if there are others."""
-    usable = list_usable(parts.board, ticket.service.name)
-    now = read_clock()
-    present = [
-        one for one in usable if not parts.loads.absent.is_absent(one.name, now)
-    ]
-    return present or usable
-
-
 def count_missing(parts: Parts, ticket: Ticket, server: str) -> int:
     """Count the prompt tokens that an engine would have to read.
 
--- a/src/dykemast/_internal/serving/choice/outcomes.py
+++ b/src/dykemast/_internal/serving/choice/outcomes.py
@@ -1,5 +1,6 @@
 """What sends to backend servers came to, and how many may be repeated."""
 
+import asyncio
 from typing import Final
 
 from dykemast._internal.models.backend import BackendServer
@@ -14,6 +15,10 @@
 #: entry goes after three heartbeats of 1.2 s, and one that comes back has
 #: another id.
 ABSENT_TIME: Final = 4.0
+#: Seconds between two rounds. Each start of a server has another id, so that
+#: what is known of those before would stay for ever; a cache holds up to all
+#: parts of prompts that an engine keeps.
+FORGET_PAUSE: Final = 10.0
 
 
 def open_allowance(parts: Parts, service: str) -> RetryAllowance:
@@ -55,3 +60,15 @@
     parts.trust.note_outcome(server.name, read_clock(), failed=failed)
     outcome = 'failed' if failed else 'done'
     parts.meters.sends.inc({'service': server.service, 'outcome': outcome})
+
+
+async def forget_gone(parts: Parts) -> None:
+    """Forget servers that are not listed any more, for ever.
+
+    :param parts: parts of the program.
+    """
+    while True:
+        await asyncio.sleep(FORGET_PAUSE)
+        parts.loads.caches.keep_only(parts.board.servers)
+        parts.trust.keep_only(parts.board.servers)
+        parts.cold_starts.keep_only(parts.board.servers)
--- a/src/dykemast/_internal/serving/knowledge/backends.py
+++ b/src/dykemast/_internal/serving/knowledge/backends.py
@@ -67,6 +67,27 @@
     ]
 
 
+def list_allowed(
+    board: ServingBoard,
+    service: str,
+    homes: Iterable[frozenset[str]],
+) -> list[BackendServer]:
+    """List the servers that may get a new request.
+
+    :param board: the blackboard.
+    :param service: the service.
+    :param homes: regions that the request stays in; each of them binds.
+    :returns: usable servers of halls that are not emptied and lie in them.
+    """
+    regions = board.settings.regions
+    return [
+        server
+        for server in list_usable(board, service)
+        if server.hall not in board.evacuations.halls
+        and all(regions.get(server.hall) in home for home in homes)
+    ]
+
+
 def take_server(board: ServingBoard, server: BackendServer) -> None:
     """Take a server that is listed.
 
@@ -120,6 +141,7 @@
     """
     board.lapsed.pop(name, None)
     board.leaving.discard(name)
+    board.cold_until.pop(name, None)
     gone = board.servers.pop(name, None)
     if gone:
         board.server_starts.pop(gone.server_id)
--- a/src/dykemast/_internal/serving/knowledge/currency.py
+++ b/src/dykemast/_internal/serving/knowledge/currency.py
@@ -1,12 +1,18 @@
 """Whether what is known of the store may decide a request."""
 
+from typing import Final
+
 from dykemast._internal.operations.knowledge import Knowledge, is_read_late
 from dykemast._internal.platform.configuration import CONFIGURATION_KIND
-from dykemast._internal.platform.servers import SERVER_KIND
+from dykemast._internal.platform.servers import EVACUATION_KIND, SERVER_KIND
 from dykemast._internal.serving.knowledge.ages import measure_age
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.clock import read_clock
 
+#: Seconds that a request takes from the decision to its server, over a
+#: connection that has to be opened.
+SEND_TIME: Final = 0.3
+
 
 def know_configuration(board: ServingBoard) -> Knowledge:
     """Tell what is known of the configuration.
@@ -36,6 +42,25 @@
     )
 
 
+def know_evacuations(board: ServingBoard) -> Knowledge:
+    """Tell what is known of halls that are being emptied.
+
+    :param board: the blackboard.
+    :returns: how far it may decide.
+    """
+    promised = board.settings.bounds.evacuate_time
+    if promised is None:
+        return Knowledge(0, 0, outdated=False, store_away=False)
+    known = board.evacuations.revision > 0
+    return Knowledge(
+        measure_age(board, EVACUATION_KIND),
+        promised - SEND_TIME,
+        outdated=not known,
+        # Who has never known anything does not know what stays in force.
+        store_away=known and _is_store_away(board, EVACUATION_KIND),
+    )
+
+
 def _is_store_away(board: ServingBoard, kind: str) -> bool:
     if board.store_away_since:
         return True
--- /dev/null
+++ b/src/dykemast/_internal/serving/knowledge/evacuations.py
@@ -0,0 +1,79 @@
+"""Keep which halls are being emptied."""
+
+from typing import Final
+
+from dykemast._internal.models.backend import Evacuations
+from dykemast._internal.platform.servers import EVACUATION_KIND
+from dykemast._internal.platform.store_types import StoreObject
+from dykemast._internal.serving.knowledge.cold_servers import note_hall_back
+from dykemast._internal.serving.knowledge.follower import Follower
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('backends')
+
+#: Seconds in which changes gather before they are read.
+WATCH_PAUSE: Final = 0.3
+_SOURCE: Final = 'store'
+
+
+def make_follower(board: ServingBoard) -> Follower:
+    """Make what follows these objects.
+
+    :param board: the blackboard.
+    :returns: the follower.
+    """
+    halls = set(board.evacuations.halls)
+
+    def take_object(stored: StoreObject) -> None:
+        halls.add(stored.name)
+
+    def drop_object(name: str) -> None:
+        halls.discard(name)
+
+    def take_names(names: set[str]) -> None:
+        halls.intersection_update(names)
+
+    def note_revision(revision: int) -> None:
+        board.revisions[EVACUATION_KIND] = revision
+        take_evacuations(
+            board, Evacuations(revision, frozenset(halls)), _SOURCE
+        )
+
+    return Follower(
+        EVACUATION_KIND,
+        take_object,
+        take_names,
+        drop_object,
+        drop_object,
+        note_revision,
+        WATCH_PAUSE,
+        told={},
+    )
+
+
+def take_evacuations(
+    board: ServingBoard,
+    told: Evacuations,
+    source: str,
+) -> None:
+    """Take which halls are emptied, if it is newer than what is known.
+
+    :param board: the blackboard.
+    :param told: the halls.
+    :param source: who told.
+    """
+    before = board.evacuations
+    if told.revision <= before.revision:
+        return
+    board.evacuations = told
+    for hall in before.halls - told.halls:
+        note_hall_back(board, hall)
+    if told.halls != before.halls:
+        _log(
+            'halls_emptied',
+            halls=sorted(told.halls),
+            before=sorted(before.halls),
+            revision=told.revision,
+            source=source,
+        )
--- a/src/dykemast/_internal/serving/knowledge/server_entries.py
+++ b/src/dykemast/_internal/serving/knowledge/server_entries.py
@@ -1,5 +1,7 @@
 """Follow the entries of backend servers."""
 
+import zlib
+from collections.abc import Iterable
 from typing import Final
 
 from dykemast._internal.models.news import ListState
@@ -11,9 +13,12 @@
     forget_server,
     take_server,
 )
+from dykemast._internal.serving.knowledge.cold_servers import (
+    note_back,
+    note_entry,
+)
 from dykemast._internal.serving.knowledge.follower import Follower
 from dykemast._internal.serving.state.board import ServingBoard
-from dykemast._internal.utils.digests import digest_texts
 
 #: Seconds in which changes of servers gather; a leaving one may get requests
 #: for 2 s.
@@ -31,7 +36,13 @@
         server = decode_server(stored)
         before = board.server_starts.get(stored.name)
         name = name_start(server, stored.revision, before)
-        take_server(board, server._replace(name=name))
+        named = server._replace(name=name)
+        is_back = name in board.lapsed
+        take_server(board, named)
+        if _is_new(board, stored):
+            note_entry(board, named)
+        if is_back:
+            note_back(board, name)
         board.server_objects[stored.name] = stored
 
     def drop_object(server_id: str) -> None:
@@ -50,8 +61,7 @@
     def note_revision(revision: int) -> None:
         board.revisions[SERVER_KIND] = revision
         entries = board.server_objects.values()
-        digest = digest_texts(f'{one.name}:{one.revision}' for one in entries)
-        board.server_state = ListState(revision, digest)
+        board.server_state = ListState(revision, _digest(entries))
 
     return Follower(
         SERVER_KIND,
@@ -63,3 +73,16 @@
         WATCH_PAUSE,
         told={},
     )
+
+
+def _is_new(board: ServingBoard, stored: StoreObject) -> bool:
+    # An entry that is read again tells how cold its server was when it was
+    # written, not now.
+    known = board.server_objects.get(stored.name)
+    return known is None or known.revision != stored.revision
+
+
+def _digest(entries: Iterable[StoreObject]) -> int:
+    """Digest names and revisions, by which two routers see that they agree."""
+    texts = sorted(f'{one.name}:{one.revision}' for one in entries)
+    return zlib.crc32('\n'.join(texts).encode())
--- a/src/dykemast/_internal/serving/members/peer_fetches.py
+++ b/src/dykemast/_internal/serving/members/peer_fetches.py
@@ -6,10 +6,15 @@
 from dykemast._internal.exceptions import PeerError
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.models.news import News
-from dykemast._internal.serving.knowledge import configuration, server_lists
+from dykemast._internal.platform.configuration import CONFIGURATION_KIND
+from dykemast._internal.platform.servers import EVACUATION_KIND, SERVER_KIND
+from dykemast._internal.serving.knowledge import (
+    ages,
+    configuration,
+    server_lists,
+)
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.state.quarantines import note_answer
-from dykemast._internal.serving.members.peer_ages import note_ages
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('gossip')
@@ -50,6 +55,25 @@
     note_answer(board, news.crashes, asked_at)
 
 
+def note_ages(board: ServingBoard, news: News, asked_at: float) -> None:
+    """Take over when a peer read what this router knows as well.
+
+    :param board: the blackboard.
+    :param news: the peer's answer.
+    :param asked_at: seconds at which it was asked.
+    """
+    told = news.ages
+    if board.count_version() >= news.card.revision:
+        # Else the newer configuration has to be fetched first.
+        kind = CONFIGURATION_KIND
+        ages.note_age(board, kind, told.get(kind), asked_at)
+    if board.server_state.digest == news.servers.digest:
+        ages.note_age(board, SERVER_KIND, told.get(SERVER_KIND), asked_at)
+    # Which halls are emptied stands in the news, and is known by now.
+    kind = EVACUATION_KIND
+    ages.note_age(board, kind, told.get(kind), asked_at)
+
+
 async def _fetch(call: Call, card: PeerCard, method: str, above: int) -> bytes:
     """Fetch what is newer; empty when there is nothing, or no answer."""
     try:
--- a/src/dykemast/_internal/serving/members/peer_news.py
+++ b/src/dykemast/_internal/serving/members/peer_news.py
@@ -3,6 +3,7 @@
 from dykemast._internal.exceptions import NotUsableError
 from dykemast._internal.models.news import News, RelayedLoads
 from dykemast._internal.serving.knowledge import ages, backends
+from dykemast._internal.serving.knowledge.evacuations import take_evacuations
 from dykemast._internal.serving.members import members, strain
 from dykemast._internal.serving.state.board import ServingBoard, is_silent
 from dykemast._internal.serving.state.fleet_size import is_large
@@ -47,6 +48,7 @@
             absent=self._loads.absent.tell(read_clock()),
             pauses=self._loads.pauses.tell(read_clock()),
             crashes=tell_crashes(self._board),
+            evacuations=self._board.evacuations,
         )
         # In a fleet of 195 routers 2,250 bytes become 1,180, for 0.05 ms of
         # processor at both ends together: news are most of what passes
@@ -91,6 +93,7 @@
             self._board.heard_version, card.revision
         )
         take_crashes(self._board, news.crashes, card.instance)
+        take_evacuations(self._board, news.evacuations, card.instance)
 
     def _take_loads(self, news: News, now: float) -> None:
         loads = self._loads.peers
--- a/src/dykemast/_internal/serving/parts.py
+++ b/src/dykemast/_internal/serving/parts.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from dykemast._internal.operations.cold_starts import ColdStarts
 from dykemast._internal.operations.retry_allowance import RetryAllowance
 from dykemast._internal.operations.server_trust import ServerTrust
 from dykemast._internal.serving.state.board import ServingBoard
@@ -9,6 +10,7 @@
 from dykemast._internal.serving.state.loads import Loads
 from dykemast._internal.serving.state.meters import Meters, make_meters
 from dykemast._internal.serving.sending.upstream import Upstreams
+from dykemast._internal.utils.clock import read_clock
 
 
 class Parts(NamedTuple):
@@ -20,6 +22,7 @@
     :param trust: how backend servers did.
     :param retries: allowance for second sends by service.
     :param upstreams: connections to backend servers.
+    :param cold_starts: what is sent to cold servers.
     :param meters: counters and times.
     """
 
@@ -29,6 +32,7 @@
     trust: ServerTrust
     retries: dict[str, RetryAllowance]
     upstreams: Upstreams
+    cold_starts: ColdStarts
     meters: Meters
 
 
@@ -47,5 +51,6 @@
         trust=ServerTrust(),
         retries={},
         upstreams=Upstreams(),
+        cold_starts=ColdStarts(board.settings.name, read_clock()),
         meters=make_meters(),
     )
--- a/src/dykemast/_internal/serving/process/description.py
+++ b/src/dykemast/_internal/serving/process/description.py
@@ -1,6 +1,7 @@
 """State of this router in figures, for its log and its metrics."""
 
 from dykemast._internal.serving.knowledge.ages import tell_ages
+from dykemast._internal.serving.knowledge.cold_servers import is_cold
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.state.board import ServingBoard, list_heard
 from dykemast._internal.utils.clock import read_clock
@@ -21,6 +22,10 @@
         'servers': len(board.servers),
         'peers_heard': sum(1 for _ in list_heard(board)),
         'store_away_s': round(now - away, 1) if away else 0,
+        'halls_emptied': len(board.evacuations.halls),
+        'servers_cold': sum(
+            is_cold(board, name, now) for name in board.cold_until
+        ),
         'loop_failures': board.loops.failures,
         'loops_failing': len(board.loops.list_failing(now)),
         'loop_late_s': round(board.watch.measure_lateness(now), 3),
--- a/src/dykemast/_internal/serving/process/entry.py
+++ b/src/dykemast/_internal/serving/process/entry.py
@@ -7,11 +7,14 @@
 from dykemast._internal.operations.entry_choice import (
     EntryOption,
     choose_entries,
+    keep_homes,
 )
 from dykemast._internal.platform.entry_messages import (
-    decode_entry_name,
+    EntryQuestion,
+    decode_entry_question,
     encode_entry,
 )
+from dykemast._internal.serving.knowledge.currency import know_evacuations
 from dykemast._internal.serving.state.board import (
     Peer,
     ServingBoard,
@@ -69,6 +72,8 @@
     """
     if board.table is None or board.stopping:
         return False
+    if know_evacuations(board).outdated:
+        return False
     return not board.loops.list_failing(read_clock())
 
 
@@ -77,32 +82,44 @@
     scope: Any,
     responder: Responder,
 ) -> None:
-    addresses = _list_addresses(board)
-    if not decode_entry_name(scope) or not addresses:
+    question = decode_entry_question(scope)
+    addresses = _list_addresses(board, question)
+    if not question.host or not addresses:
         await responder.answer(_NOT_READY, [], b'')
         return
     ttl = measure_entry_ttl(board)
     await responder.answer(_OK, [_JSON], encode_entry(addresses, ttl))
 
 
-def _list_addresses(board: ServingBoard) -> list[Endpoint]:
+def _list_addresses(
+    board: ServingBoard,
+    question: EntryQuestion,
+) -> list[Endpoint]:
+    homes = board.table.list_homes(question.host) if board.table else []
+    near = keep_homes(_list_options(board), homes, question.region)
+    chosen = choose_entries(near, MAX_ADDRESSES, random.sample)
+    return [one.address for one in chosen]
+
+
+def _list_options(board: ServingBoard) -> list[EntryOption]:
     # If nobody is heard, this router is more likely cut off than all others.
     peers = list(list_heard(board)) or list(board.peers.values())
     options = [
-        _describe_peer(peer)
+        _describe_peer(board, peer)
         for peer in peers
         if not peer.card.leaving and peer.card.revision
     ]
     if is_ready(board):
         own = board.settings.listeners.caller
-        options.append(EntryOption(own, measure_strain(board)))
-    chosen = choose_entries(options, MAX_ADDRESSES, random.sample)
-    return [one.address for one in chosen]
+        region = board.settings.regions.get(board.settings.hall, '')
+        options.append(EntryOption(own, measure_strain(board), region))
+    return options
 
 
-def _describe_peer(peer: Peer) -> EntryOption:
+def _describe_peer(board: ServingBoard, peer: Peer) -> EntryOption:
     address = Endpoint(peer.card.host, peer.card.caller_port)
-    return EntryOption(address, peer.strain)
+    region = board.settings.regions.get(peer.card.hall, '')
+    return EntryOption(address, peer.strain, region)
 
 
 async def _answer_metrics(parts: Parts, responder: Responder) -> None:
--- a/src/dykemast/_internal/serving/process/loops.py
+++ b/src/dykemast/_internal/serving/process/loops.py
@@ -5,10 +5,11 @@
 from typing import Final
 
 from dykemast._internal.platform.objects import ObjectStore
-from dykemast._internal.serving.choice.gone_servers import forget_gone
+from dykemast._internal.serving.choice.outcomes import forget_gone
 from dykemast._internal.serving.knowledge import (
     backends,
     configuration,
+    evacuations,
     server_entries,
 )
 from dykemast._internal.serving.members import gossip, members
@@ -37,6 +38,9 @@
 #: 2 s that users allow.
 CONFIGURATION_AGE: Final = 1.4
 SERVERS_AGE: Final = 1.4
+#: The same for halls that are emptied, as a part of what is promised: each read
+#: is a priced call.
+EVACUATIONS_SHARE: Final = 0.8
 #: Seconds between two lines on the state of the router.
 STATE_PAUSE: Final = 10.0
 
@@ -66,12 +70,7 @@
     """
     board = assembly.parts.board
     store = assembly.upkeep.store
-    tables = configuration.make_follower(board)
-    servers = server_entries.make_follower(board)
-    checked = (
-        Checked(tables, CONFIGURATION_AGE),
-        Checked(servers, SERVERS_AGE),
-    )
+    checked = _list_checked(board)
     return [
         *(_make_read_loop(board, store, one) for one in checked),
         *(_make_watch_loop(board, store, one.follower) for one in checked),
@@ -96,6 +95,18 @@
     ]
 
 
+def _list_checked(board: ServingBoard) -> list[Checked]:
+    checked = [
+        Checked(configuration.make_follower(board), CONFIGURATION_AGE),
+        Checked(server_entries.make_follower(board), SERVERS_AGE),
+    ]
+    promised = board.settings.bounds.evacuate_time
+    if promised is not None:
+        halls = evacuations.make_follower(board)
+        checked.append(Checked(halls, EVACUATIONS_SHARE * promised))
+    return checked
+
+
 def _make_read_loop(
     board: ServingBoard,
     store: ObjectStore,
--- a/src/dykemast/_internal/serving/relay/attempts.py
+++ b/src/dykemast/_internal/serving/relay/attempts.py
@@ -1,14 +1,9 @@
 """Send a request, and once more where that is safe."""
 
 from collections.abc import Awaitable, Callable
-from typing import Final
 
 from dykemast._internal.exceptions import UpstreamError
-from dykemast._internal.serving.admission.quarantine import (
-    check_quarantine,
-    find_suspicion,
-)
-from dykemast._internal.serving.choice.choices import choose_server
+from dykemast._internal.serving.admission.gates import SERVER_RETRY
 from dykemast._internal.serving.choice.outcomes import open_allowance
 from dykemast._internal.serving.relay.exchange import Exchange
 from dykemast._internal.serving.relay.retries import has_time, may_retry
@@ -16,6 +11,7 @@
     note_failure,
     note_success,
 )
+from dykemast._internal.serving.relay.server_search import find_server
 from dykemast._internal.serving.relay.sends import Send, log_send
 from dykemast._internal.serving.requests.refusals import (
     RefusalCode,
@@ -23,21 +19,25 @@
 )
 from dykemast._internal.utils.clock import read_clock
 
-#: Seconds after which a request may come back when no server took it.
-SERVER_RETRY: Final = 0.4
-
 Deliver = Callable[[Send], Awaitable[None]]
+Prepare = Callable[[], Awaitable[None]]
 
 
 class Attempts:
     """Sends of one request.
 
     :param exchange: the request.
+    :param prepare: what a send needs besides a server.
     """
 
-    def __init__(self, exchange: Exchange) -> None:
+    def __init__(
+        self,
+        exchange: Exchange,
+        prepare: Prepare | None = None,
+    ) -> None:
         """Send nothing yet."""
         self._exchange = exchange
+        self._prepare = prepare
         self._parts = exchange.parts
         self._ticket = exchange.ticket
         self._identity = exchange.identity
@@ -68,11 +68,13 @@
 
         :returns: how it failed, or nothing.
         """
-        self._check_quarantine(before)
-        apart = find_suspicion(self._parts.board, self._identity)
-        server = choose_server(self._parts, self._ticket, self.tried, apart)
-        if server is None:
-            raise self._refuse(before)
+        if self._prepare:
+            # May wait, so that it comes before what decides by what is known.
+            await self._prepare()
+        try:
+            server = await find_server(self._exchange, self.tried)
+        except RefusedError as error:
+            raise self._refuse(before, error) from error
         self.tried.append(server.name)
         send = Send(server, read_clock(), self._identity)
         log_send(self._parts, self._ticket, send, len(self.tried))
@@ -85,19 +87,16 @@
         note_success(self._exchange, send)
         return None
 
-    def _check_quarantine(self, failure: UpstreamError | None) -> None:
-        """Check once more: since it was let in, others may have told."""
-        try:
-            check_quarantine(self._parts.board, self._identity)
-        except RefusedError:
-            if self.may_have_run:
-                raise self._refuse(failure) from None
-            raise
-
-    def _refuse(self, failure: UpstreamError | None) -> RefusedError:
+    def _refuse(
+        self,
+        failure: UpstreamError | None,
+        refused: RefusedError | None = None,
+    ) -> RefusedError:
         details = {'tried': self.tried, 'reason': str(failure)}
         if not self.may_have_run:
-            return RefusedError(RefusalCode.no_server, details, SERVER_RETRY)
+            return refused or RefusedError(
+                RefusalCode.no_server, details, SERVER_RETRY
+            )
         if not has_time(self._ticket):
             return RefusedError(RefusalCode.too_late, details)
         return RefusedError(RefusalCode.upstream_failed, details)
--- a/src/dykemast/_internal/serving/relay/dispatch.py
+++ b/src/dykemast/_internal/serving/relay/dispatch.py
@@ -1,6 +1,7 @@
 """Serve a request that was let in, by the kind of its route."""
 
 from dykemast._internal.models.routing_table import RouteKind
+from dykemast._internal.serving.admission.gates import check_servers
 from dykemast._internal.serving.admission.quarantine import pass_gate
 from dykemast._internal.serving.relay import plain_calls, stream_requests
 from dykemast._internal.serving.relay.exchange import Exchange
@@ -12,6 +13,7 @@
     :param exchange: the request.
     :raises RefusedError: when it was not served whole.
     """
+    check_servers(exchange.parts.board, exchange.ticket)
     # Before any tokens are held for it.
     with pass_gate(exchange.parts.board, exchange.identity):
         if exchange.ticket.route.kind is RouteKind.stream:
--- a/src/dykemast/_internal/serving/relay/event_streams.py
+++ b/src/dykemast/_internal/serving/relay/event_streams.py
@@ -29,7 +29,7 @@
         self._parts = exchange.parts
         self._ticket = exchange.ticket
         self._body = exchange.body
-        self._attempts = Attempts(exchange)
+        self._attempts = Attempts(exchange, payment.hold_again)
         self.relay = EventRelay(exchange.responder)
         self._payment = payment
 
@@ -41,7 +41,6 @@
         await self._attempts.run(self._deliver)
 
     async def _deliver(self, send: Send) -> None:
-        await self._payment.hold_again()
         server = send.server
         unread = count_missing(self._parts, self._ticket, server.name)
         reading = Reading(self._parts, server.name, unread)
--- /dev/null
+++ b/src/dykemast/_internal/serving/relay/server_search.py
@@ -0,0 +1,101 @@
+"""Find the backend server that a request is sent to next."""
+
+import asyncio
+import math
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from dykemast._internal.models.backend import BackendServer
+from dykemast._internal.serving.admission import gates, quarantine
+from dykemast._internal.serving.choice import candidates, choices
+from dykemast._internal.serving.relay.exchange import Exchange
+from dykemast._internal.serving.requests.refusals import (
+    RefusalCode,
+    RefusedError,
+)
+from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.requests.ticket import Ticket
+from dykemast._internal.utils.clock import read_clock
+
+#: Part of its objective that a request waits at most: served after it, it is
+#: still in time, and refused then, its caller may still be in time elsewhere.
+WAIT_SHARE: Final = 0.25
+#: Seconds that each step of urgency looks later: who is more urgent and waits
+#: for the same moment goes first.
+STEP: Final = 0.01
+
+
+class ColdPatience:
+    """How long one request waits where all servers are cold.
+
+    :param parts: parts of the program.
+    :param ticket: the request.
+    """
+
+    def __init__(self, parts: Parts, ticket: Ticket) -> None:
+        """Wait from now on."""
+        self._parts = parts
+        self._ticket = ticket
+        self._until = read_clock() + WAIT_SHARE * ticket.route.objective
+        #: Seconds after which it may come back, as far as is known.
+        self.return_time = gates.SERVER_RETRY
+
+    def measure(self, tried: Iterable[str]) -> float:
+        """Measure when to look for a server again.
+
+        :param tried: servers that had it before.
+        :returns: seconds; 0 when waiting does not help.
+        """
+        servers = candidates.list_untried(self._parts, self._ticket, tried)
+        waits = (
+            candidates.measure_wait(self._parts, self._ticket, one)
+            for one in servers
+        )
+        wait = min(waits, default=math.inf)
+        if not math.isfinite(wait):
+            return 0
+        self.return_time = max(wait, STEP)
+        wait += STEP * (1 + self._ticket.route.priority)
+        return wait if read_clock() + wait <= self._until else 0
+
+
+async def find_server(
+    exchange: Exchange,
+    tried: Sequence[str],
+) -> BackendServer:
+    """Find a server; where all are cold, wait for one as long as that serves.
+
+    Each look asks once more for what others may have told since.
+
+    :param exchange: the request.
+    :param tried: servers that had it before.
+    :returns: a server that gets it now.
+    :raises RefusedError: when there is none.
+    """
+    patience = ColdPatience(exchange.parts, exchange.ticket)
+    while True:
+        server = _look(exchange, tried)
+        if server:
+            return server
+        wait = patience.measure(tried)
+        if not wait:
+            raise _refuse(exchange, tried, patience.return_time)
+        await asyncio.sleep(wait)
+
+
+def _look(exchange: Exchange, tried: Sequence[str]) -> BackendServer | None:
+    board = exchange.parts.board
+    gates.check_evacuations(board)
+    quarantine.check_quarantine(board, exchange.identity)
+    apart = quarantine.find_suspicion(board, exchange.identity)
+    return choices.choose_server(exchange.parts, exchange.ticket, tried, apart)
+
+
+def _refuse(
+    exchange: Exchange,
+    tried: Sequence[str],
+    return_time: float,
+) -> RefusedError:
+    halls = gates.describe_halls(exchange.parts.board, exchange.ticket)
+    details = {'tried': tried, **halls}
+    return RefusedError(RefusalCode.no_server, details, return_time)
--- a/src/dykemast/_internal/serving/state/board.py
+++ b/src/dykemast/_internal/serving/state/board.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from dykemast._internal.models.backend import BackendServer
+from dykemast._internal.models.backend import BackendServer, Evacuations
 from dykemast._internal.models.deployment import InstanceSettings
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.models.news import ListState, Strain
@@ -77,6 +77,10 @@
         while the store was away, by name; ``serving.backends``.
     :param leaving: names of servers that are leaving; only ever grows while
         they are listed; ``serving.backends`` and ``serving.gossip``.
+    :param cold_until: seconds until which a server counts as cold, by name;
+        ``serving.cold_servers``.
+    :param evacuations: halls that are being emptied;
+        ``serving.evacuations``.
     :param peers: other routers by instance; ``serving.members`` adds and
         removes them, ``serving.gossip`` hears from them.
     :param peers_read: set when the list of routers was read since the start;
@@ -124,6 +128,8 @@
     server_state: ListState = ListState()
     lapsed: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving: set[str] = dataclasses.field(default_factory=set)
+    cold_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    evacuations: Evacuations = Evacuations()
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     peers_read: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     inflight: int = 0
--- a/src/dykemast/_internal/serving/state/meters.py
+++ b/src/dykemast/_internal/serving/state/meters.py
@@ -15,6 +15,7 @@
     :param requests: requests ended, by route kind and outcome.
     :param refusals: refusals by code.
     :param sends: sends to backend servers, by service and outcome.
+    :param cold_sends: sends to servers that were cold, by service.
     :param first_byte: seconds until an answer began.
     :param whole: seconds until an answer was whole.
     :param tokens: tokens held and consumed.
@@ -26,6 +27,7 @@
     requests: Counter
     refusals: Counter
     sends: Counter
+    cold_sends: Counter
     first_byte: Histogram
     whole: Histogram
     tokens: Counter
@@ -56,6 +58,7 @@
         count('requests_total', 'Requests ended.'),
         count('refusals_total', 'Refusals by code.'),
         count('sends_total', 'Sends to backend servers.'),
+        count('cold_sends_total', 'Sends to cold backend servers.'),
         time('first_byte', 'Time until an answer began.'),
         time('whole', 'Time until an answer was whole.'),
         count('tokens_total', 'Tokens held and consumed.'),
--- a/tests/functional/test_cold_servers.py
+++ b/tests/functional/test_cold_servers.py
@@ -7,6 +7,7 @@
 import time
 import uuid
 from concurrent.futures import ThreadPoolExecutor
+from types import MappingProxyType
 
 from tests.lib.deployment import Deployment
 from tests.lib.users_caller import Reply, stream
@@ -16,7 +17,7 @@
 COLD_RATE = 4.0
 #: What all routers together may send to one in any second.
 MOST = 1.5 * COLD_RATE + 5
-SERVICE = {'coldStartS': COLD_TIME, 'coldPerS': COLD_RATE}
+SERVICE = MappingProxyType({'coldStartS': COLD_TIME, 'coldPerS': COLD_RATE})
 #: Seconds in which routers hear of a changed entry.
 HEAR_TIME = 1.0
 AT_ONCE = 1.0
@@ -38,7 +39,9 @@
     time.sleep(HEAR_TIME)
 
 
-def ask_for(deployment: Deployment, seconds: float) -> list[tuple[Reply, float]]:
+def ask_for(
+    deployment: Deployment, seconds: float
+) -> list[tuple[Reply, float]]:
     """Ask all routers at once, again and again."""
     until = time.monotonic() + seconds
 
@@ -47,9 +50,8 @@
         replies = []
         while time.monotonic() < until:
             asked_at = time.monotonic()
-            reply = stream(
-                deployment, router=router, prompt=f'{uuid.uuid4().hex}:100'
-            )
+            part = uuid.uuid4().hex
+            reply = stream(deployment, router=router, prompt=f'{part}:100')
             replies.append((reply, time.monotonic() - asked_at))
         return replies
 
@@ -67,6 +69,14 @@
     )
 
 
+def check_refusals(refused: list[tuple[Reply, float]]) -> None:
+    assert refused
+    for reply, took in refused:
+        assert reply.status == 503
+        assert float(reply.headers['retry-after']) > 0
+        assert took < AT_ONCE
+
+
 def test_all_routers_together_keep_to_what_a_cold_server_bears() -> None:
     deployment = start_three_engines()
     turn_cold(deployment, 'engine-2')
@@ -86,10 +96,5 @@
     replies = ask_for(deployment, COLD_TIME - 1)
     for server in servers:
         assert 0 < find_busiest(deployment, server, since) <= MOST
-    refused = [one for one in replies if one[0].status != 200]
-    assert refused
-    for reply, took in refused:
-        assert reply.status == 503
-        assert float(reply.headers['retry-after']) > 0
-        assert took < AT_ONCE
+    check_refusals([one for one in replies if one[0].status != 200])
     deployment.stop()
--- a/tests/functional/test_evacuations.py
+++ b/tests/functional/test_evacuations.py
@@ -91,7 +91,7 @@
 def test_a_router_that_starts_knows_which_halls_are_emptied() -> None:
     deployment = Deployment(routers=1)
     deployment.halls = {'engine-1': OTHER_HALL}
-    deployment.objects = [make_evacuation(OTHER_HALL)]
+    deployment.stored_first = [make_evacuation(OTHER_HALL)]
     deployment.start(prepaid=10_000_000)
     assert {reply.status for reply in ask_all(deployment, 10)} == {200}
     assert not count_arrivals(deployment, 'engine-1')
--- a/tests/functional/test_homes.py
+++ b/tests/functional/test_homes.py
@@ -1,7 +1,5 @@
 """Routes and workspaces whose requests stay in their regions."""
 
-import json
-
 from tests.lib.deployment import Deployment
 from tests.lib.fixtures import wait_until
 from tests.lib.users_caller import stream
@@ -22,9 +20,7 @@
 
 def ask_all(deployment: Deployment, path: str) -> set[int]:
     return {
-        stream(
-            deployment, path, router=router, prompt=f'a{number}:100'
-        ).status
+        stream(deployment, path, router=router, prompt=f'a{number}:100').status
         for number in range(8)
         for router in deployment.names
     }
@@ -71,6 +67,10 @@
     return call(f'{url}/resolve?name={HOST}&{where}')['addresses']
 
 
+def list_near(deployment: Deployment) -> list[str]:
+    return list_entries(deployment, 'node-0', 'region=norte&zone=cluj')
+
+
 def test_entry_answers_name_routers_of_the_home() -> None:
     deployment = start_two_regions()
     own, abroad = (
@@ -78,12 +78,10 @@
         for name in deployment.names
     )
     sul = 'region=sul&zone=joinville'
-    for router in deployment.names:
-        assert wait_until(
-            lambda: list_entries(deployment, router, sul) == [own]  # noqa: B023
-        )
+    # Once the router abroad is known, its address may stand there.
+    assert wait_until(lambda: len(list_near(deployment)) == 2)
+    assert list_entries(deployment, 'node-0', sul) == [own]
+    assert list_entries(deployment, 'node-1', sul) == [own]
     # A caller's own region is no other one.
-    near = list_entries(deployment, 'node-0', 'region=norte&zone=cluj')
-    assert set(near) == {own, abroad}
-    assert json.dumps(near)
+    assert set(list_near(deployment)) == {own, abroad}
     deployment.stop()
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -37,7 +37,7 @@
         #: Where servers and routers stand, when not where all others do.
         self.halls: dict[str, str] = {}
         #: Other objects that the store holds from the start.
-        self.objects: list[list[Any]] = []
+        self.stored_first: list[list[Any]] = []
         #: The program that routers run.
         self.router_module = 'dykemast.instance'
         self.names = [f'node-{number}' for number in range(routers)]
@@ -53,7 +53,7 @@
         return self
 
     def start_servers(self, configuration: Any) -> None:
-        put = [['config', 'main', configuration], *self.objects]
+        put = [['config', 'main', configuration], *self.stored_first]
         for name, port in self.backend_ports.items():
             if name != 'store':
                 listed = self.listed_ports.get(name, port)
--- a/tests/lib/users_objects.py
+++ b/tests/lib/users_objects.py
@@ -51,8 +51,7 @@
     prepaid: int = 100_000,
     routes: tuple[dict[str, Any], ...] = ROUTES,
     keys: tuple[str, ...] = (KEY,),
-    engine_service: dict[str, Any] | None = None,
-    workspace: dict[str, Any] | None = None,
+    **added: Any,
 ) -> dict[str, Any]:
     return {
         'version': version,
@@ -63,7 +62,7 @@
                 'healthPath': '/healthz',
                 'maxConns': 300,
                 'engine': {'slots': 8, 'kvCapacity': 50_000, 'stride': 1},
-                **(engine_service or {}),
+                **added.get('engine_service', {}),
             },
             {'name': 'shop', 'healthPath': '/healthz', 'maxConns': 90},
         ],
@@ -79,7 +78,7 @@
                 'apiKeys': list(keys),
                 'priority': 1,
                 'prepaid': prepaid,
-                **(workspace or {}),
+                **added.get('workspace', {}),
             }
         ],
     }
--- a/tests/lib/users_settings.py
+++ b/tests/lib/users_settings.py
@@ -1,12 +1,15 @@
 """Settings file of one instance, as the users' platform writes it."""
 
+from types import MappingProxyType
 from typing import Any
 
 from tests.lib.users_objects import HALL
 
 #: Milliseconds after which an evacuation is in force.
 EVACUATE_MS = 3000
-REGIONS = {'joinville': 'sul', 'curitiba': 'sul', 'cluj': 'norte'}
+REGIONS = MappingProxyType(
+    {'joinville': 'sul', 'curitiba': 'sul', 'cluj': 'norte'}
+)
 TEMPLATE = """
 nodeName = "{name}"
 role = "router"
--- a/tests/unit/test_knowledge_age.py
+++ b/tests/unit/test_knowledge_age.py
@@ -16,7 +16,7 @@
     take_configuration,
 )
 from dykemast._internal.serving.knowledge import ages, currency
-from dykemast._internal.serving.members import peer_ages, peer_news
+from dykemast._internal.serving.members import peer_fetches, peer_news
 from dykemast._internal.serving.state.loads import make_loads
 from dykemast._internal.utils.clock import read_clock
 from tests.lib.serving_boards import make_boards
@@ -77,7 +77,7 @@
     news = peer_news.PeerNews(board, make_loads()).take_news(body)
     assert news
     time.sleep(WAITED)
-    peer_ages.note_ages(board, news, asked_at)
+    peer_fetches.note_ages(board, news, asked_at)
     assert 1 + WAITED <= ages.measure_age(board, CONFIGURATION_KIND) <= 2
 
 
--- a/tests/unit/test_platform_words.py
+++ b/tests/unit/test_platform_words.py
@@ -125,11 +125,11 @@
 
 
 def test_entry_questions_and_answers() -> None:
-    assert (
-        entry_messages.decode_entry_name({'query_string': b'name=a.b&zone=z'})
-        == 'a.b'
-    )
-    assert not entry_messages.decode_entry_name({'query_string': b''})
+    assert entry_messages.decode_entry_question(
+        {'query_string': b'name=A.b&zone=z&region=sul'}
+    ) == ('a.b', 'sul')
+    nothing = entry_messages.decode_entry_question({'query_string': b''})
+    assert nothing == ('', '')
     assert (
         entry_messages.encode_entry([], 1.5) == b'{"addresses":[],"ttlS":1.5}'
     )
--- a/tools/serving_mutations.py
+++ b/tools/serving_mutations.py
@@ -180,8 +180,8 @@
         'send once more without holding what that may consume',
         'spend never exceeds the budget',
         f'{_INTERNAL}/serving/relay/event_streams.py',
-        'await self._payment.hold_again()',
-        'self._payment.usage.count_most()',
+        'Attempts(exchange, payment.hold_again)',
+        'Attempts(exchange, None)',
         'test_unread_events',
     ),
     Mutation(
