Halls, cold servers and homes: rules alone, an oracle, and the soak

Unit tests of each decision; a stateful test whose oracle counts every second over routers that start again and know unequal lists (1 to 87 routers, four rates); the two ways of sharing a cold server's rate side by side: with an equal share for each of 87 routers 30 requests saved up in 3 s may come at once where 19 are allowed; with a few routers by rendezvous 9 do, and 0.8 of the rate or more is used in fleets of 1 to 300. The soak draws halls that are emptied, overlapping and taken back, and servers that turn cold, from seed 3,000,000 on; older seeds keep their plans and their world.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -12,6 +12,8 @@
 ONE_SERVER_SEED = 2_000_010
 #: A request that ends servers, routers that sleep and a loss of all of them.
 CRASH_SEED = 2_000_001
+#: Halls that are emptied and taken back, and servers that turn cold.
+HALL_SEED = 3_000_001
 
 
 def read_seeds() -> list[int]:
@@ -44,6 +46,10 @@
     assert not run.run_seed(CRASH_SEED).broken
 
 
+def test_a_seed_with_halls_that_are_emptied_keeps_the_promises() -> None:
+    assert not run.run_seed(HALL_SEED).broken
+
+
 def test_a_seed_with_one_server_quarantines_no_other_request() -> None:
     # Service was not back: 119 of 496 served, as two slow questions that are
     # always under way beside the request that ends the server were quarantined
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -4,6 +4,7 @@
 
 from tests.lib.users_objects import FOREIGN
 from tests.soak.faults import Fault
+from tests.soak.halls import draw_halls
 from tests.soak.proxy import MODES
 from tests.soak.series import draw_series
 from tests.soak.sizes import SMALL, Size
@@ -18,7 +19,9 @@
 #: Plans from this one on have a request that ends servers, and machines that
 #: are suspended.
 FIRST_WITH_CRASHES = 2_000_000
-LAST_SEED = 3_000_000
+#: Plans from this one on have halls that are emptied, and cold servers.
+FIRST_WITH_HALLS = 3_000_000
+LAST_SEED = 4_000_000
 SERVERS = ('engine-0', 'engine-1', 'plain-0')
 STORE_FAULTS = ('away', 'silent', 'lose', 'deaf')
 CHANGES = ('raise', 'lower', 'routes')
@@ -30,6 +33,8 @@
     chance = random.Random(seed)
     if seed < FIRST_WITH_SERIES:
         return sorted(_draw_faults(chance, size, chance.randint(4, 9)))
+    if seed >= FIRST_WITH_HALLS:
+        return sorted(draw_halls(chance, FAULT_TIME))
     if seed >= FIRST_WITH_CRASHES:
         return sorted(_draw_crashes(chance, size))
     faults = _draw_faults(chance, size, chance.randint(0, 4))
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -6,6 +6,7 @@
 from tests.soak.callers import NOT_RUN
 from tests.soak.changes import find_outdated
 from tests.soak.crashes import find_crash_storms
+from tests.soak.halls import find_cold_crowds, find_sent_to_emptied
 from tests.soak.losses import find_idle_work, find_losses
 from tests.soak.returns import find_absence, find_late_sends, find_storms
 from tests.soak.seen import WHOLE, Seen, Witness
@@ -93,4 +94,6 @@
     find_absence,
     find_storms,
     find_crash_storms,
+    find_sent_to_emptied,
+    find_cold_crowds,
 )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,11 +3,12 @@
 import time
 from typing import NamedTuple
 
-from tests.soak.callers import Callers
+from tests.soak import callers, halls
 from tests.soak.faults import Fault
 from tests.soak.plan import (
     FAULT_TIME,
     FIRST_WITH_CRASHES,
+    FIRST_WITH_HALLS,
     FIRST_WITH_SERIES,
     make_plan,
 )
@@ -40,11 +41,16 @@
     """Play a seed."""
     plan = make_plan(seed, size)
     world = World(size, _choose_prepaid(seed))
-    if seed >= FIRST_WITH_CRASHES:
+    if seed >= FIRST_WITH_HALLS:
+        world.deployment.halls = dict(halls.HALLS)
+        world.engine_service = dict(halls.SERVICE)
+    elif seed >= FIRST_WITH_CRASHES:
         # A process that stands still is then a machine that is suspended.
         world.deployment.router_module = 'tests.lib.suspended_router'
     world.start()
-    witness = _watch(world, plan, Callers(world.deployment, seed, size.callers))
+    witness = _watch(
+        world, plan, callers.Callers(world.deployment, seed, size.callers)
+    )
     broken = list(find_broken(witness))
     if not wait_served(world):
         broken.append('no router serves after all faults have ended')
@@ -54,14 +60,14 @@
     return Outcome(broken, summarize(plan, witness))
 
 
-def _watch(world: World, plan: list[Fault], callers: Callers) -> Witness:
-    callers.start()
+def _watch(world: World, plan: list[Fault], asking: callers.Callers) -> Witness:
+    asking.start()
     calm_at = _play(world, plan)
     takers = list_takers(world)
-    callers.stop()
+    asking.stop()
     runs, arrivals = read_servers(world)
     return Witness(
-        callers.list_seen(),
+        asking.list_seen(),
         runs,
         arrivals,
         world.most_prepaid,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,7 +12,7 @@
     make_next_start,
     make_route,
 )
-from tests.soak.crashes import Crashes
+from tests.soak import crashes, halls
 from tests.soak.faults import Fault
 from tests.soak.history import ROUTE_ADDED, End, History
 from tests.soak.links import Links
@@ -38,6 +38,8 @@
         self.deployment = Deployment(size.routers, size.engines)
         self.most_prepaid = prepaid
         self.left_at: dict[str, float] = {}
+        #: What the configuration says of the engines' service besides.
+        self.engine_service: Fields = {}
         self.history = History()
         self._links = Links()
         self._version = 1
@@ -45,7 +47,10 @@
         self._routes = ROUTES
         self._timers: list[threading.Timer] = []
         self._routers = Routers(self.deployment, self.history, self._later)
-        self._crashes = Crashes(self.deployment, self.history, self._later)
+        self._emptied = halls.EmptiedHalls(self.deployment, self.history)
+        self._crashes = crashes.Crashes(
+            self.deployment, self.history, self._later
+        )
 
     def start(self) -> None:
         self._links.start()
@@ -56,7 +61,9 @@
         for router in self.deployment.names:
             opened = self._links.open(router, ports['store'])
             self.deployment.store_ports[router] = opened
-        self.deployment.start(prepaid=self._prepaid)
+        self.deployment.start(
+            prepaid=self._prepaid, engine_service=self.engine_service
+        )
 
     def strike(self, fault: Fault) -> None:
         """Bring a fault about; its end comes by itself."""
@@ -102,6 +109,14 @@
         """Have a request asked that ends the servers that run it."""
         self._crashes.ask(fault.lasts)
 
+    def _evacuate(self, fault: Fault) -> None:
+        self._emptied.ask(fault.target)
+        self._later(fault.lasts, self._emptied.take_back, fault.target)
+
+    def _cool(self, fault: Fault) -> None:
+        end = halls.cool_server(self.deployment, self.history, fault.target)
+        self._later(fault.lasts, end)
+
     def _reload(self, fault: Fault) -> None:
         self._routers.reload(fault.target)
 
@@ -171,7 +186,10 @@
             self._prepaid -= CHANGE
         self.most_prepaid = max(self.most_prepaid, self._prepaid)
         spec = make_configuration(
-            self._version, max(1000, self._prepaid), self._routes
+            self._version,
+            max(1000, self._prepaid),
+            self._routes,
+            engine_service=self.engine_service,
         )
         end = self.history.begin('configure', 'store')
         self.deployment.control('store', put=[['config', 'main', spec]])
--- /dev/null
+++ b/tests/unit/test_cold_entries.py
@@ -0,0 +1,68 @@
+"""What entries tell of cold servers, and when nothing is told yet."""
+
+from dykemast._internal.models.backend import Evacuations
+from dykemast._internal.platform.store_types import Listing, StoreObject
+from dykemast._internal.serving.knowledge import (
+    cold_servers,
+    evacuations,
+    server_entries,
+)
+from dykemast._internal.serving.knowledge.follower import take_listing
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.utils.clock import read_clock
+from tests.lib.serving_boards import make_board
+from tests.lib.users_objects import make_server
+
+HALL = 'south'
+NAME = 'engine-0'
+
+
+def take_entry(board: ServingBoard, revision: int, **fields: object) -> None:
+    """Read the list, whose one entry was written at a revision."""
+    _, _, spec = make_server(NAME, 1, HALL)
+    stored = StoreObject(NAME, revision, {**spec, **fields})
+    follower = server_entries.make_follower(board)
+    take_listing(follower, Listing([stored], revision))
+
+
+def is_cold(board: ServingBoard) -> bool:
+    return cold_servers.is_cold(board, NAME, read_clock())
+
+
+def test_a_hall_that_is_taken_back_counts_as_cold() -> None:
+    board = make_board()
+    take_entry(board, 1)
+    emptied = Evacuations(2, frozenset((HALL,)))
+    evacuations.take_evacuations(board, emptied, 'store')
+    evacuations.take_evacuations(board, Evacuations(3), 'store')
+    assert is_cold(board)
+    # The same entry, read again, says nothing new; a new one decides.
+    take_entry(board, 1)
+    assert is_cold(board)
+    take_entry(board, 5)
+    assert not is_cold(board)
+
+
+def test_a_server_whose_entry_lapsed_counts_as_cold_when_it_is_back() -> None:
+    board = make_board()
+    take_entry(board, 1)
+    board.lapsed[NAME] = read_clock() + 1
+    take_entry(board, 2)
+    assert is_cold(board)
+
+
+def test_an_entry_tells_for_how_long_its_server_is_cold() -> None:
+    board = make_board()
+    take_entry(board, 1, coldLeftMs=3000)
+    until = board.cold_until[NAME]
+    take_entry(board, 1, coldLeftMs=3000)
+    assert board.cold_until[NAME] == until
+    take_entry(board, 2)
+    assert not is_cold(board)
+
+
+def test_an_entry_that_makes_no_sense_names_no_server() -> None:
+    board = make_board()
+    for number, nonsense in enumerate(('soon', -1, None, [3])):
+        take_entry(board, number + 1, coldLeftMs=nonsense)
+        assert NAME not in board.servers, nonsense
--- /dev/null
+++ b/tests/unit/test_cold_fuzz.py
@@ -0,0 +1,157 @@
+"""No second in which all routers together send too much to a cold server.
+
+Routers start again, and know lists that differ; an oracle counts each second.
+"""
+
+import math
+import random
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from dykemast._internal.operations.cold_starts import ColdStarts
+
+SERVER = 'i-1/7'
+#: What users allow beyond the rate of a cold server.
+OVERSHOOT = 1.5
+SLACK = 5
+#: Requests a second that a cold server bears, and for how long it is cold.
+RATE = 9.9
+COLD_TIME = 3.0
+NUMBERS = st.integers(0, 299)
+#: Others that a router may not know yet, as a part of the fleet and at most.
+UNKNOWN_SHARE = 0.1
+MOST_UNKNOWN = 5
+
+
+class ColdFleet:
+    """Routers that all see the same cold server."""
+
+    def __init__(self, count: int, rate: float) -> None:
+        self.rate = rate
+        self.now = float()
+        self.sent: list[float] = []
+        self.names = [f'node-{number}' for number in range(count)]
+        everybody = frozenset(self.names)
+        self.views = {name: everybody for name in self.names}
+        self.routers = {name: ColdStarts(name, -1e9) for name in self.names}
+
+    def ask(self, number: int) -> None:
+        """Have one router send as much as it may."""
+        name = self.names[number % len(self.names)]
+        router = self.routers[name]
+        for _ in range(100):
+            wait = router.measure_wait(
+                SERVER, self.views[name], self.rate, self.now
+            )
+            if wait:
+                return
+            router.note_sent(SERVER, self.now)
+            self.sent.append(self.now)
+
+    def ask_all(self) -> None:
+        """Have everybody send as much as they may."""
+        for number, _ in enumerate(self.names):
+            self.ask(number)
+
+    def count_busiest(self) -> int:
+        return max(
+            (
+                sum(begin <= at <= begin + 1 for at in self.sent)
+                for begin in self.sent
+            ),
+            default=0,
+        )
+
+
+class ColdMachine(RuleBasedStateMachine):
+    """Crowds, restarts and unequal knowledge in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = ColdFleet(1, 1)
+
+    @initialize(
+        count=st.sampled_from((1, 2, 6, 9, 17, 87)),
+        rate=st.sampled_from((0.5, 2.5, 9.9, 20.0)),
+    )
+    def begin(self, count, rate) -> None:
+        self.fleet = ColdFleet(count, rate)
+
+    @rule(seconds=st.floats(0.001, 0.6))
+    def advance(self, seconds) -> None:
+        self.fleet.now += seconds
+
+    @rule(number=NUMBERS)
+    def ask(self, number) -> None:
+        self.fleet.ask(number)
+
+    @rule()
+    def crowd(self) -> None:
+        self.fleet.ask_all()
+
+    @rule(number=NUMBERS)
+    def start_again(self, number) -> None:
+        fleet = self.fleet
+        name = fleet.names[number % len(fleet.names)]
+        fleet.routers[name] = ColdStarts(name, fleet.now)
+
+    @rule(number=NUMBERS, seed=st.integers(0, 99))
+    def forget(self, number, seed) -> None:
+        """Have one router not know of some others."""
+        fleet = self.fleet
+        name = fleet.names[number % len(fleet.names)]
+        others = [one for one in fleet.names if one != name]
+        most = min(MOST_UNKNOWN, math.floor(UNKNOWN_SHARE * len(others)))
+        unknown = random.Random(seed).sample(others, most)
+        fleet.views[name] = frozenset(fleet.names) - set(unknown)
+
+    @invariant()
+    def no_second_has_too_much(self) -> None:
+        most = OVERSHOOT * self.fleet.rate + SLACK
+        assert self.fleet.count_busiest() <= most
+
+
+TestColdStarts = ColdMachine.TestCase
+
+
+def play_crowd(fleet: ColdFleet) -> None:
+    """Have everybody ask all the time, for as long as servers are cold."""
+    while fleet.now < COLD_TIME:
+        fleet.ask_all()
+        fleet.now += 0.01
+
+
+def test_most_of_the_rate_is_used_in_fleets_of_any_size() -> None:
+    for count in (1, 3, 6, 9, 17, 87, 300):
+        fleet = ColdFleet(count, RATE)
+        play_crowd(fleet)
+        assert len(fleet.sent) > 0.8 * RATE * COLD_TIME, count
+        # Who knows the same list as all others keeps to the rate itself.
+        assert fleet.count_busiest() <= RATE, count
+
+
+def test_an_equal_share_for_each_router_would_be_saved_up() -> None:
+    # Each of 87 routers may send every 87 / RATE seconds, one after the other;
+    # demand that comes after a pause meets all that they saved up.
+    first_turns = [number / RATE for number in range(87)]
+    at_once = sum(turn <= COLD_TIME for turn in first_turns)
+    assert at_once > OVERSHOOT * RATE + SLACK
+    fleet = ColdFleet(87, RATE)
+    fleet.now = COLD_TIME
+    fleet.ask_all()
+    assert len(fleet.sent) <= RATE
+
+
+def test_a_router_that_starts_counts_what_it_may_have_sent_before() -> None:
+    fleet = ColdFleet(1, RATE)
+    fleet.ask(0)
+    fleet.routers['node-0'] = ColdStarts('node-0', 0.05)
+    fleet.now = 0.1
+    fleet.ask(0)
+    assert len(fleet.sent) == 1
--- /dev/null
+++ b/tests/unit/test_halls.py
@@ -0,0 +1,102 @@
+"""Halls that are emptied, and homes, by the rules alone."""
+
+from dykemast._internal.models.backend import BackendServer, Evacuations
+from dykemast._internal.models.deployment import Endpoint
+from dykemast._internal.platform.servers import EVACUATION_KIND
+from dykemast._internal.platform.store_types import (
+    Changes,
+    Event,
+    Listing,
+    StoreObject,
+)
+from dykemast._internal.serving.admission.gates import check_evacuations
+from dykemast._internal.serving.knowledge import (
+    backends,
+    evacuations,
+)
+from dykemast._internal.serving.knowledge.follower import (
+    take_changes,
+    take_listing,
+)
+from dykemast._internal.serving.process.entry import is_ready
+from dykemast._internal.serving.requests.refusals import RefusedError
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.utils.clock import read_clock
+from tests.lib.serving_boards import make_board
+
+PROMISED = 5.0
+
+
+def make_promising_board() -> ServingBoard:
+    board = make_board()
+    settings = board.settings
+    bounds = settings.bounds._replace(evacuate_time=PROMISED)
+    regions = {'north': 'home', 'south': 'abroad'}
+    board.settings = settings._replace(bounds=bounds, regions=regions)
+    return board
+
+
+def make_backend(name: str, hall: str) -> BackendServer:
+    return BackendServer(name, name, 'llm', Endpoint('h', 1), hall, 8, False)
+
+
+def list_names(board: ServingBoard, *homes: frozenset[str]) -> list[str]:
+    return [one.name for one in backends.list_allowed(board, 'llm', homes)]
+
+
+def is_refused(board: ServingBoard) -> bool:
+    try:
+        check_evacuations(board)
+    except RefusedError:
+        return True
+    return False
+
+
+def test_nobody_decides_without_knowing_which_halls_are_emptied() -> None:
+    board = make_promising_board()
+    board.store_away_since = read_clock()
+    # Also while the store is away: nothing was known that could stay in force.
+    assert is_refused(board)
+    assert not is_ready(board)
+    evacuations.take_evacuations(board, Evacuations(7), 'store')
+    assert not is_refused(board)
+    board.store_away_since = 0
+    board.checked_at[EVACUATION_KIND] = read_clock() - PROMISED
+    assert is_refused(board)
+    board.checked_at[EVACUATION_KIND] = read_clock() - PROMISED / 2
+    assert not is_refused(board)
+
+
+def test_older_word_of_halls_changes_nothing() -> None:
+    board = make_promising_board()
+    for server in (make_backend('a', 'north'), make_backend('b', 'south')):
+        backends.take_server(board, server)
+    emptied = Evacuations(9, frozenset(('south',)))
+    evacuations.take_evacuations(board, emptied, 'store')
+    evacuations.take_evacuations(board, Evacuations(8), 'node-1')
+    assert list_names(board) == ['a']
+    evacuations.take_evacuations(board, Evacuations(10), 'node-1')
+    assert list_names(board) == ['a', 'b']
+
+
+def test_asked_for_again_within_one_watch() -> None:
+    board = make_promising_board()
+    follower = evacuations.make_follower(board)
+    asked = StoreObject('south', 1, {})
+    take_listing(follower, Listing([asked], 1))
+    events = [Event(asked, removed=True), Event(asked, removed=False)]
+    take_changes(follower, Changes(events, 3))
+    assert board.evacuations.halls == {'south'}
+    take_changes(follower, Changes([Event(asked, removed=True)], 4))
+    assert not board.evacuations.halls
+
+
+def test_homes_bind_together() -> None:
+    board = make_promising_board()
+    for server in (make_backend('a', 'north'), make_backend('b', 'south')):
+        backends.take_server(board, server)
+    home, abroad = frozenset(('home',)), frozenset(('abroad',))
+    assert list_names(board, home) == ['a']
+    assert not list_names(board, home, abroad)
+    board.settings = board.settings._replace(regions={})
+    assert not list_names(board, home)
--- a/tests/unit/test_soak_plan.py
+++ b/tests/unit/test_soak_plan.py
@@ -3,6 +3,7 @@
 from tests.lib.users_settings import TEMPLATE
 from tests.soak.plan import (
     FIRST_WITH_FOREIGN,
+    FIRST_WITH_HALLS,
     FIRST_WITH_SERIES,
     make_plan,
 )
@@ -59,6 +60,12 @@
             assert hasattr(World, f'_{fault.kind}'), fault
 
 
+def test_plans_have_halls_that_are_emptied_and_cold_servers() -> None:
+    seeds = range(FIRST_WITH_HALLS, FIRST_WITH_HALLS + 50)
+    kinds = {kind for seed in seeds for kind in list_kinds(seed)}
+    assert kinds == {'evacuate', 'cool', 'kill_all'}
+
+
 def test_all_faults_can_be_brought_about() -> None:
     for seed in SEEDS:
         for fault in make_plan(seed) + make_plan(seed, LARGE):
