Tokens do not hang on one router: who gets too little asks the store itself

Cause: in a large fleet one router, chosen among those that are heard, keeps a budget, whether or not the store answers it. Change: a router tells in its news that its last write of a budget failed; a borrower that its keeper cannot give enough, and of which it has heard that, goes to the store itself. A keeper that reaches the store is believed, or each router would ask for each budget that is at its end.

--- a/src/dykemast/_internal/models/news.py
+++ b/src/dykemast/_internal/models/news.py
@@ -103,6 +103,7 @@
     :param pauses: long pauses of streams that it saw lately.
     :param crashes: servers that ended, and under which requests.
     :param evacuations: halls that are being emptied.
+    :param budgets_away: whether its last write of a budget failed.
     """
 
     card: PeerCard
@@ -117,3 +118,4 @@
     pauses: tuple[LongPauses, ...] = ()
     crashes: CrashNews = CrashNews()
     evacuations: Evacuations = Evacuations()
+    budgets_away: bool = False
--- a/src/dykemast/_internal/serving/members/peer_news.py
+++ b/src/dykemast/_internal/serving/members/peer_news.py
@@ -49,6 +49,7 @@
             pauses=self._loads.pauses.tell(read_clock()),
             crashes=tell_crashes(self._board),
             evacuations=self._board.evacuations,
+            budgets_away=self._board.budgets_away,
         )
         # In a fleet of 195 routers 2,250 bytes become 1,180, for 0.05 ms of
         # processor at both ends together: news are most of what passes
@@ -84,6 +85,7 @@
         peer.heard_at = read_clock()
         peer.met_at = peer.heard_at
         peer.strain = news.strain
+        peer.budgets_away = news.budgets_away
         backends.note_leaving(self._board, news.leaving, card.instance)
         self._take_loads(news, peer.heard_at)
         self._loads.caches.take(news.prompts)
--- a/src/dykemast/_internal/serving/state/board.py
+++ b/src/dykemast/_internal/serving/state/board.py
@@ -41,12 +41,14 @@
         or to one that passed it on; 0 for never.
     :param met_at: seconds at which it last exchanged news with this router.
     :param strain: how much comes to it, as it last told.
+    :param budgets_away: whether it could not write budgets then.
     """
 
     card: PeerCard
     heard_at: float = 0
     met_at: float = 0
     strain: Strain = Strain()
+    budgets_away: bool = False
 
 
 @dataclasses.dataclass
@@ -93,6 +95,8 @@
         ``serving.planned_stop``.
     :param store_away_since: seconds since when the store does not answer,
         0 while it does; ``serving.store_state``.
+    :param budgets_away: whether the last write of a budget failed;
+        ``serving.ledger_writer``.
     :param usual_times: how long requests take; ``serving.records`` and
         ``serving.application``.
     :param tasks: those of requests that were let in;
@@ -139,6 +143,7 @@
     stopping: bool = False
     stop_plan: planned_stop.StopPlan | None = None
     store_away_since: float = 0
+    budgets_away: bool = False
     usual_times: route_times.RouteTimes = dataclasses.field(
         default_factory=route_times.RouteTimes
     )
--- a/src/dykemast/_internal/serving/tokens/token_source.py
+++ b/src/dykemast/_internal/serving/tokens/token_source.py
@@ -42,7 +42,8 @@
         :param account: the budget.
         """
         if is_large(self._board) and await self._ask_keeper(account):
-            return
+            if not self._is_stranded(account):
+                return
         terms = self._writer.read_terms(account.workspace)
         if self._writer.may_try() and account.may_gain(terms):
             await self._writer.write(account)
@@ -50,6 +51,18 @@
             peers = [peer.card for peer in list_heard(self._board)]
             await borrow_tokens(self._gossip, peers, account)
 
+    def _is_stranded(self, account: Account) -> bool:
+        """Tell whether tokens are short as their keeper cannot write.
+
+        The store turns single routers away while others reach it; what is
+        left of a budget then must not hang on one of those.
+        """
+        if account.pending <= account.allowance.count_room():
+            return False
+        keeper = find_keeper(self._board, account.workspace)
+        peer = self._board.peers.get(keeper.instance) if keeper else None
+        return peer is not None and peer.budgets_away
+
     async def _ask_keeper(self, account: Account) -> bool:
         """Ask the budget's keeper.
 
--- /dev/null
+++ b/tools/hall_mutations.py
@@ -0,0 +1,59 @@
+"""Rules on halls, cold servers and stranded budgets, broken on purpose."""
+
+from typing import Final
+
+from tools.mutation import Mutation
+
+_INTERNAL: Final = 'dykemast/_internal'
+
+#: Mutations of these rules.
+HALL_MUTATIONS: Final = (
+    Mutation(
+        'send to halls that are being emptied',
+        'a hall that is emptied gets nothing new',
+        f'{_INTERNAL}/serving/knowledge/backends.py',
+        'if server.hall not in board.evacuations.halls',
+        'if server.hall not in board.leaving',
+        'test_halls',
+    ),
+    Mutation(
+        'take older word of halls that are emptied',
+        'a hall that is emptied gets nothing new',
+        f'{_INTERNAL}/serving/knowledge/evacuations.py',
+        'if told.revision <= before.revision:',
+        'if told == before:',
+        'test_halls',
+    ),
+    Mutation(
+        'send to a cold server at any time',
+        'a cold server gets no more than it bears',
+        f'{_INTERNAL}/operations/cold_starts.py',
+        'return max(0, sent_at + share.interval - now)',
+        'return 0 if share.interval < now else sent_at',
+        'test_cold_fuzz',
+    ),
+    Mutation(
+        'take an entry that is read again for a new one',
+        'a cold server gets no more than it bears',
+        f'{_INTERNAL}/serving/knowledge/server_entries.py',
+        'return known is None or known.revision != stored.revision',
+        'return known is None or bool(stored.revision)',
+        'test_cold_entries',
+    ),
+    Mutation(
+        'let the home of a route bind alone',
+        'requests stay in their homes',
+        f'{_INTERNAL}/serving/knowledge/backends.py',
+        'and all(regions.get(server.hall) in home for home in homes)',
+        'and any(regions.get(server.hall) in home for home in homes)',
+        'test_halls',
+    ),
+    Mutation(
+        'leave a budget to a keeper that cannot write',
+        'tokens do not hang on one router',
+        f'{_INTERNAL}/serving/tokens/token_source.py',
+        'return peer is not None and peer.budgets_away',
+        'return peer is None',
+        'test_stranded_budgets',
+    ),
+)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -4,6 +4,7 @@
 
 from tools.crash_mutations import CRASH_MUTATIONS
 from tools.fleet_mutations import FLEET_MUTATIONS
+from tools.hall_mutations import HALL_MUTATIONS
 from tools.load_mutations import LOAD_MUTATIONS
 from tools.mutation import Mutation
 from tools.serving_mutations import SERVING_MUTATIONS
@@ -74,6 +75,7 @@
     *SERVING_MUTATIONS,
     *STOP_MUTATIONS,
     *LOAD_MUTATIONS,
+    *HALL_MUTATIONS,
     *SOAK_MUTATIONS,
     Mutation(
         'grant more than is free',
