--- a/src/dykemast/_internal/network/listeners.py
+++ b/src/dykemast/_internal/network/listeners.py
@@ -71,7 +71,7 @@
         **address,
         # uvloop would use io_uring, which the users do not allow.
         loop='asyncio',
-        # h11 took a fifth of the time of a stream in the profile.
+        # Written in C: a parser in Python takes a fifth of a stream's time.
         http='httptools',
         ws='none',
         lifespan='off',
--- a/src/dykemast/_internal/network/peer_client.py
+++ b/src/dykemast/_internal/network/peer_client.py
@@ -1,7 +1,7 @@
 """Calls to other routers.
 
 A connection carries one call at a time and is closed after any failure: the
-library's client would hand a late answer to the next call (seen in a trial).
+library's client would hand a late answer to the next call.
 """
 
 import asyncio
--- a/src/dykemast/_internal/operations/crash_retention.py
+++ b/src/dykemast/_internal/operations/crash_retention.py
@@ -5,7 +5,7 @@
 
 from dykemast._internal.operations.crash_table import KEEP_TIME, CrashTable
 
-#: Ends that are kept: by choice, some times the servers of a large service.
+#: Ends that are kept: some times the servers of a large service.
 MAX_CRASHES: Final = 256
 #: Requests that are kept, in quarantine or cleared: whoever fills this on
 #: purpose has to end three servers for each that is in quarantine.
--- a/src/dykemast/_internal/operations/engine_pauses.py
+++ b/src/dykemast/_internal/operations/engine_pauses.py
@@ -11,12 +11,11 @@
 from dykemast._internal.models.long_pauses import LongPauses
 
 #: Part of the longest pause that a route allows from which on a pause tells
-#: anything: without a long prompt engines pause for a tenth of it, with one for
-#: 0.75 (the faster) to 1.2 times as long, measured under
-#: the load of a user with seven routers and six engines.
+#: anything: engines pause for a tenth of it without a long prompt, and for
+#: about as long with one.
 TELLING_SHARE: Final = 0.7
 #: Seconds in which what was seen falls to about a third: an engine that was
-#: slow for a while is tried again. By choice; some prompts come in that time.
+#: slow for a while is tried again, and some prompts come in that time.
 MEMORY: Final = 20.0
 #: Telling pauses that are taken to have been short enough before any was seen,
 #: so that one pause alone does not condemn an engine.
--- a/src/dykemast/_internal/operations/loop_watch.py
+++ b/src/dykemast/_internal/operations/loop_watch.py
@@ -8,7 +8,7 @@
 #: was paused, or had no processor.
 STALL_TIME: Final = 0.3
 #: Seconds without a note after which others may have told what this router
-#: has not heard: by choice, half of what users give until all know.
+#: has not heard: half of what users give until all know.
 LONG_PAUSE: Final = 1.0
 #: Part of a new overrun that goes into the lateness: one pause alone counts
 #: for a few notes, a loop that is late at each note within a second.
--- a/src/dykemast/_internal/operations/peer_loads.py
+++ b/src/dykemast/_internal/operations/peer_loads.py
@@ -7,7 +7,7 @@
 
 #: Routers whose requests are passed on in one round of news at most, and
 #: seconds since they told: with six exchanges in 0.2 s, what one tells
-#: reaches most of 87 routers in three rounds, by estimate.
+#: reaches most routers of a large fleet in three rounds.
 MAX_RELAYED: Final = 24
 RELAY_AGE: Final = 1.0
 #: Seconds after which what a peer told of its requests is forgotten: ten
--- a/src/dykemast/_internal/operations/planned_stop.py
+++ b/src/dykemast/_internal/operations/planned_stop.py
@@ -19,8 +19,7 @@
 #: Seconds that listeners take to close the connections of callers: they look
 #: each 0.1 s whether to, and wait 0.1 s for answers on their way.
 CLOSE_TIME: Final = 0.25
-#: Seconds from the last line to the end of the process: 0.15 s measured on a
-#: busy machine.
+#: Seconds from the last line to the end of the process on a busy machine.
 EXIT_TIME: Final = 0.2
 #: Seconds before the kill at which a request that is still in progress is cut
 #: off: all that has to be done after it.
--- a/src/dykemast/_internal/operations/return_time.py
+++ b/src/dykemast/_internal/operations/return_time.py
@@ -10,8 +10,7 @@
 from dykemast._internal.operations.allowance_terms import Identity
 
 #: Seconds after which a caller may come back to another router: by then the
-#: answer has reached it. Of 100 long prompts 63 were in time and 24 refused
-#: when all returned at once, 59 and 20 when all returned after 4 s (18 runs).
+#: answer has reached it.
 ELSEWHERE_TIME: Final = 0.05
 #: Seconds after which it may come back when others are as short: half of a
 #: common outage.
--- a/src/dykemast/_internal/operations/server_choice.py
+++ b/src/dykemast/_internal/operations/server_choice.py
@@ -7,15 +7,11 @@
 #: 2 % longer with each, over the some hundred tokens of an answer.
 TOKENS_PER_RUNNING: Final = 250
 #: Prompt tokens that an engine reads at a step, which makes one token of each
-#: stream beside it: what the users' engines do. An event of three tokens bears
-#: two such steps; a longer prompt holds up all three. Streams beside one were
-#: late in 55 to 78 of 100 cases at engines 1.3 times slower than the rest, at
-#: the rest in 0 to 14.
+#: stream beside it. An event of three tokens bears two such steps; a longer
+#: prompt holds up all three.
 PIECE_TOKENS: Final = 2048
 #: Tokens that a long prompt may wait for rather than make one stream late: one
-#: that waits for 28,000 is late itself and loses six times as much. In runs
-#: without faults short streams were late in 22 of 100 cases without this, 15
-#: with it, long prompts in 9.5 and 8 (four runs, with 8,000 tokens).
+#: that waits for six times as many is late itself, and loses six times as much.
 TOKENS_PER_HARM: Final = 4400
 #: Times that a shared part counts in addition when it has to be read: what
 #: one engine keeps, another should not read again.
--- a/src/dykemast/_internal/platform/servers.py
+++ b/src/dykemast/_internal/platform/servers.py
@@ -15,8 +15,8 @@
 #: Kind of objects that ask that a hall's servers get nothing more, each by the
 #: name of its hall; what they hold says nothing else.
 EVACUATION_KIND: Final = 'evacuations'
-#: Requests at once that an entry may claim. A guard, by choice far above the 6
-#: to 32 of today's servers: one that claims more would be sent everything.
+#: Requests at once that an entry may claim. Far above those
+#: of any real one: one that claims more would be sent everything.
 MAX_SLOTS: Final = 100_000
 #: Counts of heartbeats and of milliseconds, far beyond any that are true.
 MAX_COUNT: Final = 1_000_000_000_000_000
--- a/src/dykemast/_internal/serving/admission/gates.py
+++ b/src/dykemast/_internal/serving/admission/gates.py
@@ -29,7 +29,7 @@
 #: Seconds after which a caller of an overloaded router may come back to
 #: another one: at once.
 ELSEWHERE_RETRY: Final = 0.05
-#: The same when the others get too much as well: by choice, some times what
+#: The same when the others get too much as well: some times what
 #: it takes until this loop is in time again.
 CROWDED_RETRY: Final = 0.5
 #: Seconds after which a caller may come back when the servers there are may not
--- a/src/dykemast/_internal/serving/admission/in_progress.py
+++ b/src/dykemast/_internal/serving/admission/in_progress.py
@@ -15,7 +15,7 @@
 
 
 #: Seconds after which a caller may come back to another router when this one
-#: is stopping: by choice, about the time that a new entry answer takes.
+#: is stopping: about the time that a new entry answer takes.
 STOPPING_RETRY: Final = 0.05
 
 
--- a/src/dykemast/_internal/serving/knowledge/ages.py
+++ b/src/dykemast/_internal/serving/knowledge/ages.py
@@ -34,7 +34,7 @@
 
     The age counts from when the peer was asked, before it told: news may wait
     in buffers for as long as a busy loop takes, and old knowledge would pass
-    for new (for 1.2 to 2.4 s younger than it was, in three runs by hand).
+    for new.
 
     :param board: the blackboard; it knows what the peer found already.
     :param kind: the kind.
--- a/src/dykemast/_internal/serving/knowledge/freshness.py
+++ b/src/dykemast/_internal/serving/knowledge/freshness.py
@@ -31,8 +31,7 @@
 FIRST_AGE: Final = 0.5
 #: The same where news reach the last router after some three rounds: with 0.7
 #: s of 1.4 s gone before the first one reads, who hears late passes the bound
-#: and reads as well. With this and fewer calls at starts 195 routers made
-#: 4,433 calls in 37 s where they made 7,005 in 35 s (one run each).
+#: and reads as well.
 FIRST_AGE_IN_LARGE_FLEET: Final = 0.3
 NEXT_AGE: Final = 0.25
 #: Routers before this one beyond which it makes no difference how many.
--- a/src/dykemast/_internal/serving/members/peer_news.py
+++ b/src/dykemast/_internal/serving/members/peer_news.py
@@ -51,9 +51,8 @@
             evacuations=self._board.evacuations,
             budgets_away=self._board.budgets_away,
         )
-        # In a fleet of 195 routers 2,250 bytes become 1,180, for 0.05 ms of
-        # processor at both ends together: news are most of what passes
-        # between halls in calm.
+        # Packed to half, for little processor time: news are most of what
+        # passes between halls in calm.
         return pack(news, FAST)
 
     def take_news(self, body: bytes) -> News | None:
--- a/src/dykemast/_internal/serving/members/strain.py
+++ b/src/dykemast/_internal/serving/members/strain.py
@@ -6,13 +6,10 @@
 from dykemast._internal.serving.state.board import ServingBoard, list_heard
 from dykemast._internal.utils.clock import read_clock
 
-#: Seconds of a common core that a request takes, its events included: two
-#: measured days (303.9 s for 5,220 router seconds and 11,746 requests; 31.0 s
-#: for 336 and 2,391) give 7 ms if idle routers take the same in both.
+#: Seconds of a common core that a request takes, its events included.
 REQUEST_WORK: Final = 0.007
-#: Bytes that a request takes on the link each way: 4.9 KB of prompts and
-#: answers in the mix of the users, and 3 KB by estimate for header fields and
-#: the frames of events.
+#: Bytes that a request takes on the link each way: prompt and answer, header
+#: fields and the frames of events.
 REQUEST_BYTES: Final = 8000
 #: Part of the processor or link that requests may take before they wait for
 #: each other: they come in bursts of three times the mean.
--- a/src/dykemast/_internal/serving/relay/retries.py
+++ b/src/dykemast/_internal/serving/relay/retries.py
@@ -12,7 +12,7 @@
 #: Seconds that have to be left for another try to make sense.
 MIN_TIME_LEFT: Final = 0.05
 #: Servers tried for one request at most, those included that were not there:
-#: by choice, a few times what routes allow.
+#: a few times what routes allow.
 MAX_SENDS: Final = 5
 
 
