Borrowers keep 9 s of demand, less by what is left, and borrow before they are short

Cause: a cut finds each router of a large fleet with what is left of its last loan: 0 to 4 s of its demand, where cuts last 8 s. Change: a borrower tells what it needs and what it would keep besides (9 s of its demand); the lender gives of the latter the part of the budget that is left, so that less is lost with all routers towards its end; once half of that is gone, more is borrowed ahead, once a second at most. Ruled out: that the loss of all is mended by it: it is not.

--- a/src/dykemast/_internal/network/fleet.thrift
+++ b/src/dykemast/_internal/network/fleet.thrift
@@ -8,7 +8,8 @@
 service Fleet {
     binary exchange(1: binary news) throws (1: Refused no),
     // Spare tokens of a workspace's budget, for good, to a router.
-    i64 lend(1: string workspace, 2: i64 tokens, 3: string borrower)
+    i64 lend(1: string workspace, 2: i64 tokens, 3: string borrower,
+        4: i64 spare)
         throws (1: Refused no),
     // The configuration if it is newer; else empty.
     // The list of backend servers if it is newer; else empty.
--- a/src/dykemast/_internal/network/fleet_calls.py
+++ b/src/dykemast/_internal/network/fleet_calls.py
@@ -63,6 +63,7 @@
         (TType.STRING, 'workspace'),
         (TType.I64, 'tokens'),
         (TType.STRING, 'borrower'),
+        (TType.I64, 'spare'),
     ),
 )
 _add_call('newer_servers', TType.BINARY, ((TType.I64, 'above'),))
--- a/src/dykemast/_internal/operations/spare_size.py
+++ b/src/dykemast/_internal/operations/spare_size.py
@@ -6,19 +6,14 @@
 from dykemast._internal.operations.allowance_terms import Identity
 
 #: Part of the unused tokens that all routers together may keep spare. What
-#: is spare serves requests in a cut, and is lost when its router dies; this
-#: figure and those below are from trials under faults that have both
-#: (docs/design/machines.md).
+#: is spare serves requests in a cut, and is lost when its router dies.
 SPARE_SHARE: Final = 0.5
 #: Part of a budget that may be lost in all as spare of routers that died. What
-#: is kept spare shrinks as that is used up. By these rules alone, without the
-#: bound, four deaths of three routers stranded 98 of 100 tokens that nobody
-#: consumed; under load one death of all strands about a fifth.
+#: is kept spare shrinks as that is used up: deaths in series would else strand
+#: nearly all that nobody has consumed.
 LOSS_SHARE: Final = 0.3
 #: Seconds of demand to keep spare at most, for cuts in which every router is
-#: alone; they last 7.6 to 8.8 s where users have seen them. Of 100 requests in
-#: two such cuts 8 were refused and 68 in time; 10 and 63 with 4 s and a demand
-#: that was known later (three runs). 14 s showed no further gain.
+#: alone: about as long as one lasts.
 SPARE_TIME: Final = 9.0
 #: Tokens to keep spare beyond that: a request of the larger kind.
 SPARE_FLOOR: Final = 8000
@@ -51,13 +46,26 @@
     return int(min(wanted, share * most))
 
 
+def measure_loan(ledger: BudgetLedger | None, spare: int) -> int:
+    """Measure how much of what a borrower would keep spare it gets.
+
+    What many routers keep spare serves in a cut, and is lost when all of them
+    die: the less of a budget is left, the more that weighs.
+
+    :param ledger: the budget; None when it is not known.
+    :param spare: tokens that the borrower would keep.
+    :returns: tokens.
+    """
+    if ledger is None:
+        return spare
+    return int(spare * ledger.count_unused() / max(1, ledger.prepaid))
+
+
 def _measure_share_of_unused(ledger: BudgetLedger) -> float:
     """Measure how many unused tokens all routers together may keep spare."""
     unused = ledger.count_unused()
     # Falls faster than what is unused: towards its end, what a death strands
-    # is what a budget still has. In runs that end with a loss of power of all
-    # worth rose by 0.07 and 0.10 (two seeds) and 0.01 to 0.03 (three), and on
-    # runs with cuts it fell by 0.03 and 0.06 at one of two sites.
+    # is what a budget still has.
     left = unused / max(1, ledger.prepaid)
     return SPARE_SHARE * left * unused
 
--- a/src/dykemast/_internal/serving/tokens/accounts.py
+++ b/src/dykemast/_internal/serving/tokens/accounts.py
@@ -47,6 +47,7 @@
         before it is written again.
     :param ledger: what it holds; stays when ``stored`` is forgotten.
     :param seen_at: seconds at which ``ledger`` was last seen in the store.
+    :param borrowed_at: seconds at which tokens were last borrowed ahead.
     :param written_at: seconds at which it was last written, or tried to be.
     :param turn: held while it is written. Of two writes at once the older
         answer could come last, and be taken for the row in the store.
@@ -63,6 +64,7 @@
     stored: StoreObject | None = None
     ledger: BudgetLedger | None = None
     seen_at: float = NEVER
+    borrowed_at: float = NEVER
     written_at: float = NEVER
     turn: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
--- a/src/dykemast/_internal/serving/tokens/budget_upkeep.py
+++ b/src/dykemast/_internal/serving/tokens/budget_upkeep.py
@@ -6,6 +6,7 @@
 from dykemast._internal.serving.tokens.accounts import Account
 from dykemast._internal.serving.tokens.holds import Shortage
 from dykemast._internal.serving.tokens.budget_keepers import keeps
+from dykemast._internal.serving.tokens.token_source import needs_loan
 from dykemast._internal.serving.tokens.upkeep import Upkeep, read_rows
 from dykemast._internal.utils.clock import read_clock
 
@@ -44,6 +45,9 @@
         for account in upkeep.budgets.accounts.values():
             if needs_write(upkeep, account):
                 upkeep.search.start(account, upkeep.writer.write(account))
+            elif needs_loan(upkeep.board, account):
+                ahead = upkeep.search.borrow_ahead(account)
+                upkeep.search.start(account, ahead)
 
 
 async def give_back(upkeep: Upkeep) -> bool:
--- a/src/dykemast/_internal/serving/tokens/budgets.py
+++ b/src/dykemast/_internal/serving/tokens/budgets.py
@@ -4,6 +4,7 @@
 
 from dykemast._internal.models.routing_table import Workspace
 from dykemast._internal.operations.allowance_terms import Identity
+from dykemast._internal.operations.spare_size import measure_loan
 from dykemast._internal.serving.tokens.accounts import Account, note_lent
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.tokens.budget_keepers import keeps
@@ -13,8 +14,7 @@
 from dykemast._internal.utils.clock import read_clock
 
 
-#: Tokens that the least urgent requests leave for others: an urgent one. A
-#: trial of more and less stands in docs/design/machines.md.
+#: Tokens that the least urgent requests leave for others: an urgent one.
 URGENT_RESERVE: Final = 12_000
 #: First priority of a route that counts as not urgent.
 LATER_PRIORITY: Final = 2
@@ -83,20 +83,28 @@
         account.allowance.held -= hold.tokens
         account.allowance.spent += min(used, hold.tokens)
 
-    async def lend(self, workspace: str, tokens: int, borrower: str) -> int:
+    async def lend(
+        self,
+        workspace: str,
+        tokens: int,
+        borrower: str,
+        spare: int,
+    ) -> int:
         """Give spare tokens to another router.
 
         :param workspace: whose budget they are of.
-        :param tokens: how many it wants.
+        :param tokens: how many its requests wait for.
         :param borrower: its instance.
+        :param spare: how many it would keep besides.
         :returns: how many it gets.
         """
         account = self.open_account(workspace)
+        wanted = tokens + measure_loan(account.ledger, spare)
         if is_large(self._board) and keeps(self._board, workspace):
-            account.demand.note(tokens, read_clock())
-            if account.allowance.count_room() < tokens:
-                await self._search.refill(account, tokens)
-        given = account.allowance.lend(tokens)
+            account.demand.note(wanted, read_clock())
+            if account.allowance.count_room() < wanted:
+                await self._search.refill(account, wanted)
+        given = account.allowance.lend(wanted)
         note_lent(account, borrower, given)
         return given
 
--- a/src/dykemast/_internal/serving/tokens/loans.py
+++ b/src/dykemast/_internal/serving/tokens/loans.py
@@ -63,13 +63,15 @@
     card: PeerCard,
     account: Account,
     missing: int,
+    spare: int = 0,
 ) -> bool:
     """Ask one peer for tokens.
 
     :param gossip: calls peers.
     :param card: the peer.
     :param account: the budget.
-    :param missing: how many are wanted.
+    :param missing: how many requests wait for.
+    :param spare: how many are wanted besides.
     :returns: whether it answered.
     """
     try:
@@ -79,6 +81,7 @@
             account.workspace,
             missing,
             account.identity.instance,
+            spare,
         )
     except PeerError as error:
         # If it lent without an answer, the tokens are lost rather than
--- a/src/dykemast/_internal/serving/tokens/token_search.py
+++ b/src/dykemast/_internal/serving/tokens/token_search.py
@@ -19,10 +19,9 @@
 from dykemast._internal.serving.tokens.token_source import TokenSource
 from dykemast._internal.utils.clock import read_clock
 
-#: Seconds that a request waits for tokens. With a slow store and routers cut
-#: off, 1,257 of 1,275 holds were had within 0.1 s, most in one write to the
-#: store, and 18 later; without such trouble all of 1,761 within 0.04 s. What
-#: takes longer is mostly refused, and its caller has lost more.
+#: Seconds that a request waits for tokens: nearly all are had in one write to a
+#: store that is slow; what takes longer is mostly refused, and its caller has
+#: lost more.
 HOLD_PATIENCE: Final = 0.18
 #: Seconds for which a lack of tokens is believed without asking again.
 SHORT_TIME: Final = 0.5
@@ -96,6 +95,13 @@
             work.close()
         return account.search
 
+    async def borrow_ahead(self, account: Account) -> None:
+        """Borrow before a request is short of tokens.
+
+        :param account: the budget, which another router keeps.
+        """
+        await self._source.borrow_ahead(account)
+
     async def refill(self, account: Account, tokens: int) -> None:
         """Look for tokens that a peer wants to borrow.
 
--- a/src/dykemast/_internal/serving/tokens/token_source.py
+++ b/src/dykemast/_internal/serving/tokens/token_source.py
@@ -4,7 +4,10 @@
 
 from dykemast._internal.serving.tokens.accounts import Account
 from dykemast._internal.serving.state.board import ServingBoard, list_heard
-from dykemast._internal.serving.tokens.budget_keepers import find_keeper
+from dykemast._internal.serving.tokens.budget_keepers import (
+    find_keeper,
+    keeps,
+)
 from dykemast._internal.serving.state.fleet_size import is_large
 from dykemast._internal.serving.members.gossip import Gossip
 from dykemast._internal.serving.tokens.ledger_writer import LedgerWriter
@@ -12,9 +15,46 @@
 from dykemast._internal.utils.clock import read_clock
 
 #: Seconds of its own demand that a router borrows from a budget's keeper beyond
-#: what it needs: with it two large fleets made 1,725 and 2,151 calls to the
-#: store in 50 s under load; more was not tried there.
-LOAN_TIME: Final = 4.0
+#: what it needs: about as long as a cut lasts.
+LOAN_TIME: Final = 9.0
+#: Part of that to which it may fall before more is borrowed ahead.
+LOAN_SHARE: Final = 0.5
+#: Seconds between two loans of a budget on nobody's behalf, and tokens from
+#: which on one is worth a call.
+LOAN_PAUSE: Final = 1.0
+MIN_LOAN: Final = 4000
+
+
+def measure_reserve(account: Account) -> int:
+    """Measure how many tokens a borrower would keep for the next requests.
+
+    :param account: the budget.
+    :returns: tokens.
+    """
+    return int(account.demand.measure(read_clock()) * LOAN_TIME)
+
+
+def needs_loan(board: ServingBoard, account: Account) -> bool:
+    """Tell whether this router should borrow before it is short.
+
+    A cut finds each router with what it has then. Who borrows only when a
+    request is short has half of what it would keep, on average; a workspace
+    whose callers keep to one router is refused there for the rest of the cut.
+
+    :param board: the blackboard.
+    :param account: the budget.
+    :returns: whether it should.
+    """
+    if board.stopping or not is_large(board):
+        return False
+    if read_clock() - account.borrowed_at < LOAN_PAUSE:
+        return False
+    reserve = measure_reserve(account)
+    if reserve < MIN_LOAN:
+        return False
+    if account.allowance.count_room() > LOAN_SHARE * reserve:
+        return False
+    return not keeps(board, account.workspace)
 
 
 class TokenSource:
@@ -36,6 +76,14 @@
         self._writer = writer
         self._gossip = gossip
 
+    async def borrow_ahead(self, account: Account) -> None:
+        """Borrow before a request is short of tokens.
+
+        :param account: the budget.
+        """
+        account.borrowed_at = read_clock()
+        await self._ask_keeper(account)
+
     async def find(self, account: Account) -> None:
         """Find the tokens that requests wait for, and some to spare.
 
@@ -71,6 +119,8 @@
         keeper = find_keeper(self._board, account.workspace)
         if keeper is None:
             return False
-        missing = account.pending - account.allowance.count_room()
-        spare = int(account.demand.measure(read_clock()) * LOAN_TIME)
-        return await ask_lender(self._gossip, keeper, account, missing + spare)
+        left = account.allowance.count_room() - account.pending
+        wanted = measure_reserve(account) - max(0, left)
+        return await ask_lender(
+            self._gossip, keeper, account, max(0, -left), max(0, wanted)
+        )
--- a/tests/unit/test_loans.py
+++ b/tests/unit/test_loans.py
@@ -5,6 +5,7 @@
 from dykemast._internal.models.budget_ledger import BudgetLedger, LedgerRow
 from dykemast._internal.models.routing_table import Workspace
 from dykemast._internal.operations.allowance_terms import Identity, Terms
+from dykemast._internal.operations.spare_size import measure_loan
 from dykemast._internal.serving.tokens.accounts import (
     EMPTY_TIME,
     Account,
@@ -87,13 +88,23 @@
     account = budgets.open_account(kept)
     account.allowance.borrowed = 3000
     account.allowance.take_hold(1000)
-    given = asyncio.run(budgets.lend(kept, 5000, 'node-9'))
+    given = asyncio.run(budgets.lend(kept, 5000, 'node-9', 0))
     assert given == 2000
     assert account.lent_to == {'node-9': 2000}
     # It is not the keeper: what the keeper wants is no demand of its own.
     assert account.demand.measure(read_clock()) == 0
 
 
+def test_what_is_kept_spare_shrinks_with_what_is_left() -> None:
+    rows = {'x': LedgerRow('node-2', 600, 0, 600, 0)}
+    ledger = BudgetLedger(1, 1000, rows)
+    assert measure_loan(ledger._replace(rows={}), 500) == 500
+    assert measure_loan(ledger, 500) == 200
+    assert measure_loan(ledger._replace(closed=400), 500) == 0
+    # Somebody who knows nothing of the budget has nothing to weigh.
+    assert measure_loan(None, 500) == 500
+
+
 def find_kept_elsewhere(board: ServingBoard) -> str:
     """Find a workspace whose budget another router keeps."""
     names = (f'shop-{number}' for number in range(9))
