--- a/src/dykemast/_internal/serving/tokens/token_source.py
+++ b/src/dykemast/_internal/serving/tokens/token_source.py
@@ -23,6 +23,8 @@
 #: which on one is worth a call.
 LOAN_PAUSE: Final = 1.0
 MIN_LOAN: Final = 4000
+#: Seconds longer after one that brought less.
+SCARCE_PAUSE: Final = 3.0
 
 
 def measure_reserve(account: Account) -> int:
@@ -82,7 +84,12 @@
         :param account: the budget.
         """
         account.borrowed_at = read_clock()
+        before = account.allowance.count_room()
         await self._ask_keeper(account)
+        if account.allowance.count_room() < before + MIN_LOAN:
+            # A budget near its end lends next to nothing; asked each second
+            # by all, its keeper would do little else.
+            account.borrowed_at += SCARCE_PAUSE
 
     async def find(self, account: Account) -> None:
         """Find the tokens that requests wait for, and some to spare.
--- a/tests/unit/test_loans_ahead.py
+++ b/tests/unit/test_loans_ahead.py
@@ -1,9 +1,14 @@
 """Tokens are borrowed before a router is cut off."""
 
+import asyncio
+from typing import Any
+
 from dykemast._internal.operations.allowance_terms import Identity
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.tokens.accounts import Account
+from dykemast._internal.serving.tokens.holds import NEVER
 from dykemast._internal.serving.tokens.token_source import (
+    TokenSource,
     measure_reserve,
     needs_loan,
 )
@@ -36,5 +41,31 @@
     assert not needs_loan(board, account)
     idle = make_spending_account(board, 10)
     assert not needs_loan(board, idle), 'not worth a call'
+    account.borrowed_at = NEVER
     few = make_boards(6)[0]
     assert not needs_loan(few, account), 'each writes its own row there'
+
+
+class Keeper:
+    """Lends a given number of tokens, and counts who asks."""
+
+    def __init__(self, lends: int) -> None:
+        self._lends = lends
+
+    async def call(self, *_: Any) -> int:
+        return self._lends
+
+
+def is_put_off(lends: int) -> bool:
+    """Tell whether the next loan ahead waits for longer after one of a size."""
+    board = make_boards(30)[0]
+    account = make_spending_account(board, 1000)
+    source = TokenSource(board, writer=None, gossip=Keeper(lends))
+    asyncio.run(source.borrow_ahead(account))
+    return account.borrowed_at > read_clock()
+
+
+def test_a_budget_near_its_end_is_not_asked_for_each_second() -> None:
+    assert is_put_off(lends=0)
+    assert is_put_off(lends=100)
+    assert not is_put_off(lends=9000)
