--- a/tests/functional/test_deployment_servers.py
+++ b/tests/functional/test_deployment_servers.py
@@ -54,6 +54,17 @@
     assert count_runs(deployment, 'plain-0', late.request_id) == 1
 
 
+def test_what_ran_is_never_called_not_run_when_no_server_is_left() -> None:
+    # It may be repeated, and nobody is there who could: the search for another
+    # server refuses as not run, which is not true of this request.
+    deployment = start_one_engine()
+    deployment.control('plain-0', fault='unsigned')
+    reply = send(deployment, '/price/1')
+    deployment.control('plain-0', fault='')
+    assert reply.status == 502
+    assert count_runs(deployment, 'plain-0', reply.request_id) == 1
+
+
 def test_a_failure_of_the_server_is_passed_on() -> None:
     deployment = start_one_engine()
     deployment.control('plain-0', fault='error')
