--- a/tests/unit/test_loans_ahead.py
+++ b/tests/unit/test_loans_ahead.py
@@ -55,7 +55,7 @@
 def test_single_requests_at_many_routers_reserve_what_they_come_to() -> None:
     # A rate that was guessed from one request each came to 2.5 times what there
     # is: 1.4 of 1.9 million tokens of a budget were lent after 8 s, and were
-    # lost when all routers were killed. Worth of that day 0.128, and 0.252 after.
+    # lost when all routers were killed: worth 0.128 that day, and 0.252 after.
     now = read_clock()
     reserved = 0
     for number in range(ROUTERS):
