--- a/src/dykemast/_internal/models/crashes.py
+++ b/src/dykemast/_internal/models/crashes.py
@@ -105,11 +105,15 @@
         :param other: of the same request.
         :returns: whether it does.
         """
-        return self.terms >= other.terms and self._list_ends().issuperset(
-            other._list_ends()  # noqa: WPS437
+        return self.terms >= other.terms and self.list_ends().issuperset(
+            other.list_ends()
         )
 
-    def _list_ends(self) -> set[tuple[str, str]]:
+    def list_ends(self) -> set[tuple[str, str]]:
+        """List who may have ended which server.
+
+        :returns: pairs of a server's start and a request.
+        """
         return {
             (server, suspect)
             for place, server in enumerate(self.servers)
--- a/src/dykemast/_internal/models/services.py
+++ b/src/dykemast/_internal/models/services.py
@@ -22,7 +22,6 @@
     :param name: its name.
     :param max_connections: connections that one server takes from all.
     :param engine: set where model engines run it.
-    :param cold_time: seconds for which a server that starts is cold.
     :param cold_rate: requests a second that a cold server bears; 0 where it
         bears what others do.
     """
@@ -30,7 +29,6 @@
     name: str
     max_connections: int
     engine: Engine | None
-    cold_time: float = 0
     cold_rate: float = 0
 
     def read_tokens_per_event(self) -> int:
--- a/src/dykemast/_internal/platform/configuration.py
+++ b/src/dykemast/_internal/platform/configuration.py
@@ -83,7 +83,6 @@
         name=fields['name'],
         max_connections=int(fields['maxConns']),
         engine=_decode_engine(fields.get('engine')),
-        cold_time=float(fields.get('coldStartS') or 0),
         cold_rate=float(fields.get('coldPerS') or 0),
     )
 
--- a/src/dykemast/_internal/serving/admission/gates.py
+++ b/src/dykemast/_internal/serving/admission/gates.py
@@ -29,8 +29,8 @@
 #: Seconds after which a caller of an overloaded router may come back to
 #: another one: at once.
 ELSEWHERE_RETRY: Final = 0.05
-#: The same when the others get too much as well: some times what
-#: it takes until this loop is in time again.
+#: The same when the others get too much as well: some times what it takes
+#: until this loop is in time again.
 CROWDED_RETRY: Final = 0.5
 #: Seconds after which a caller may come back when the servers there are may not
 #: get its request: halls are emptied for longer than most callers wait.
--- a/src/dykemast/_internal/serving/process/entry.py
+++ b/src/dykemast/_internal/serving/process/entry.py
@@ -73,6 +73,7 @@
     if board.table is None or board.stopping:
         return False
     if know_evacuations(board).outdated:
+        # Which halls are being emptied is not known yet.
         return False
     return not board.loops.list_failing(read_clock())
 
