The soak's cold servers: one that turns cold again is not warmed by its first end

Traced by their plans: the same server turns cold at 1.37 and 3.56 s (1.02 and 2.73 s) for 3 s; the end of the first wrote coldLeftMs 0 into its entry while the second went on to be counted, so that routers were told it is warm. The check and its bound stay; a server that turns cold again stays so until the end of the last.

--- a/tests/soak/halls.py
+++ b/tests/soak/halls.py
@@ -73,20 +73,38 @@
         self._deployment.control('store', remove=[['evacuations', hall]])
 
 
-def cool_server(deployment: Deployment, history: History, server: str) -> End:
-    """Have a server say that it is cold; what is returned ends it."""
-    stored = deployment.read_object('servers', server)
-    cold = {**stored, 'coldLeftMs': int(COLD_TIME * 1000)}
-    deployment.control('store', put=[['servers', server, cold]])
-    end = history.begin(COLD, server)
-
-    def warm() -> None:
-        end()
-        known = deployment.read_object('servers', server)
-        changed = {**known, 'coldLeftMs': 0}
-        deployment.control('store', put=[['servers', server, changed]])
-
-    return warm
+class ColdServers:
+    """Servers that say that they are cold now."""
+
+    def __init__(self, deployment: Deployment, history: History) -> None:
+        self._deployment = deployment
+        self._history = history
+        self._ends: dict[str, End] = {}
+
+    def cool(self, server: str) -> End:
+        """Have a server say that it is cold; what is returned has it warm.
+
+        When it turns cold again before, only the last one does.
+        """
+        before = self._ends.pop(server, None)
+        if before:
+            before()
+        self._tell(server, COLD_TIME)
+        end = self._history.begin(COLD, server)
+        self._ends[server] = end
+
+        def warm() -> None:
+            if self._ends.get(server) is end:
+                self._ends.pop(server)
+                end()
+                self._tell(server, 0)
+
+        return warm
+
+    def _tell(self, server: str, seconds: float) -> None:
+        stored = self._deployment.read_object('servers', server)
+        changed = {**stored, 'coldLeftMs': int(seconds * 1000)}
+        self._deployment.control('store', put=[['servers', server, changed]])
 
 
 def find_sent_to_emptied(witness: Witness) -> Iterator[str]:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -47,6 +47,7 @@
         self._routes = ROUTES
         self._timers: list[threading.Timer] = []
         self._routers = Routers(self.deployment, self.history, self._later)
+        self._cold = halls.ColdServers(self.deployment, self.history)
         self._emptied = halls.EmptiedHalls(self.deployment, self.history)
         self._crashes = crashes.Crashes(
             self.deployment, self.history, self._later
@@ -114,8 +115,7 @@
         self._later(fault.lasts, self._emptied.take_back, fault.target)
 
     def _cool(self, fault: Fault) -> None:
-        end = halls.cool_server(self.deployment, self.history, fault.target)
-        self._later(fault.lasts, end)
+        self._later(fault.lasts, self._cold.cool(fault.target))
 
     def _reload(self, fault: Fault) -> None:
         self._routers.reload(fault.target)
