What a router sends to cold servers is named by its turns, not by a field of the users

Cause: the module operations/cold_starts and its class were named almost as the users' coldStartS, which stands in platform/ alone. Change: cold_turns, ColdTurns; no behaviour. Ruled out: other users of the word; none is left outside platform/ and the tests' stand-ins.

--- a/src/dykemast/_internal/operations/cold_starts.py
+++ b/src/dykemast/_internal/operations/cold_turns.py
@@ -60,7 +60,7 @@
     )
 
 
-class ColdStarts:
+class ColdTurns:
     """What one router sends to cold servers.
 
     :param own: name of the router.
--- a/src/dykemast/_internal/serving/choice/candidates.py
+++ b/src/dykemast/_internal/serving/choice/candidates.py
@@ -78,7 +78,7 @@
     routers = frozenset((parts.board.settings.name, *parts.board.peers))
     if not parts.board.peers_read.is_set():
         return math.inf
-    return parts.cold_starts.measure_wait(server.name, routers, rate, now)
+    return parts.cold_turns.measure_wait(server.name, routers, rate, now)
 
 
 def note_chosen(parts: Parts, ticket: Ticket, server: BackendServer) -> None:
@@ -93,7 +93,7 @@
         parts.board, server.name, now
     ):
         return
-    parts.cold_starts.note_sent(server.name, now)
+    parts.cold_turns.note_sent(server.name, now)
     parts.meters.cold_sends.inc({'service': server.service})
     _log(
         'send_to_cold',
--- a/src/dykemast/_internal/serving/parts.py
+++ b/src/dykemast/_internal/serving/parts.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from dykemast._internal.operations.cold_starts import ColdStarts
+from dykemast._internal.operations.cold_turns import ColdTurns
 from dykemast._internal.operations.retry_allowance import RetryAllowance
 from dykemast._internal.operations.server_trust import ServerTrust
 from dykemast._internal.serving.state.board import ServingBoard
@@ -22,7 +22,7 @@
     :param trust: how backend servers did.
     :param retries: allowance for second sends by service.
     :param upstreams: connections to backend servers.
-    :param cold_starts: what is sent to cold servers.
+    :param cold_turns: what is sent to cold servers.
     :param meters: counters and times.
     """
 
@@ -32,7 +32,7 @@
     trust: ServerTrust
     retries: dict[str, RetryAllowance]
     upstreams: Upstreams
-    cold_starts: ColdStarts
+    cold_turns: ColdTurns
     meters: Meters
 
 
@@ -51,6 +51,6 @@
         trust=ServerTrust(),
         retries={},
         upstreams=Upstreams(),
-        cold_starts=ColdStarts(board.settings.name, read_clock()),
+        cold_turns=ColdTurns(board.settings.name, read_clock()),
         meters=make_meters(),
     )
--- a/tools/hall_mutations.py
+++ b/tools/hall_mutations.py
@@ -27,7 +27,7 @@
     Mutation(
         'send to a cold server at any time',
         'a cold server gets no more than it bears',
-        f'{_INTERNAL}/operations/cold_starts.py',
+        f'{_INTERNAL}/operations/cold_turns.py',
         'return max(0, sent_at + share.interval - now)',
         'return 0 if share.interval < now else sent_at',
         'test_cold_fuzz',
