--- a/tests/functional/test_deployment_servers.py
+++ b/tests/functional/test_deployment_servers.py
@@ -6,7 +6,7 @@
 
 from tests.lib.deployment import Deployment
 from tests.lib.fixtures import wait_until
-from tests.lib.users_caller import begin_stream, send, stream
+from tests.lib.users_caller import Reply, begin_stream, send, stream
 from tests.lib.users_objects import make_stream_route
 
 
@@ -30,11 +30,18 @@
     return sum(run['id'] == request_id for run in runs)
 
 
-def test_a_server_that_sheds_has_not_run_the_request() -> None:
+def send_with_fault(fault: str, path: str, **headers: str) -> Reply:
+    """Send a request while the plain server has a fault."""
     deployment = start_one_engine()
-    deployment.control('plain-0', fault='shed')
-    reply = send(deployment, '/order/1')
+    deployment.control('plain-0', fault=fault)
+    reply = send(deployment, path, **headers)
     deployment.control('plain-0', fault='')
+    return reply
+
+
+def test_a_server_that_sheds_has_not_run_the_request() -> None:
+    deployment = start_one_engine()
+    reply = send_with_fault('shed', '/order/1')
     assert reply.status == 503
     assert float(reply.headers['retry-after']) > 0
     assert not count_runs(deployment, 'plain-0', reply.request_id)
@@ -43,13 +50,10 @@
 def test_unsafe_requests_run_once_and_are_never_called_not_run() -> None:
     deployment = start_one_engine()
     for fault in ('unsigned', 'other'):
-        deployment.control('plain-0', fault=fault)
-        reply = send(deployment, '/order/1')
+        reply = send_with_fault(fault, '/order/1')
         assert reply.status == 502, fault
         assert count_runs(deployment, 'plain-0', reply.request_id) == 1
-    deployment.control('plain-0', fault='mute')
-    late = send(deployment, '/order/1', X_Deadline_Ms='300')
-    deployment.control('plain-0', fault='')
+    late = send_with_fault('mute', '/order/1', X_Deadline_Ms='300')
     assert late.status == 504
     assert count_runs(deployment, 'plain-0', late.request_id) == 1
 
@@ -58,18 +62,13 @@
     # It may be repeated, and nobody is there who could: the search for another
     # server refuses as not run, which is not true of this request.
     deployment = start_one_engine()
-    deployment.control('plain-0', fault='unsigned')
-    reply = send(deployment, '/price/1')
-    deployment.control('plain-0', fault='')
+    reply = send_with_fault('unsigned', '/price/1')
     assert reply.status == 502
     assert count_runs(deployment, 'plain-0', reply.request_id) == 1
 
 
 def test_a_failure_of_the_server_is_passed_on() -> None:
-    deployment = start_one_engine()
-    deployment.control('plain-0', fault='error')
-    reply = send(deployment, '/order/1')
-    deployment.control('plain-0', fault='')
+    reply = send_with_fault('error', '/order/1')
     assert reply.status == 500
     assert reply.body == b'failed'
 
