A test that fails: names under evacuations that are no halls

Cause: found reading the change as a newcomer: every name of that kind is kept and told in all news, whether a hall has it or not; nothing bounds them. Ruled out: that the functional test of foreign entries shows it; three names cost nothing that it looks at.

--- a/tests/unit/test_halls.py
+++ b/tests/unit/test_halls.py
@@ -100,3 +100,14 @@
     assert not list_names(board, home, abroad)
     board.settings = board.settings._replace(regions={})
     assert not list_names(board, home)
+
+
+def test_names_that_are_no_halls_are_told_to_nobody() -> None:
+    # Each name stands in all news of all routers: whoever writes a thousand
+    # there makes every exchange longer, for good. All 1,001 were kept.
+    board = make_promising_board()
+    follower = evacuations.make_follower(board)
+    names = [f'{number}'.rjust(100, 'x') for number in range(1000)]
+    found = [StoreObject(name, 1, {}) for name in (*names, 'south')]
+    take_listing(follower, Listing(found, 1))
+    assert board.evacuations.halls == {'south'}
