Names under evacuations that are no halls are left out and logged once

Cause: every name was kept and told in all news of all routers. Change: what the settings do not name as a hall makes no sense, as other entries that do not (object_not_usable, once a revision). Where the settings name no halls, all count, as before. Looked for elsewhere: the other kinds told in news (leaving servers, absent servers, crashes) hold names of listed servers or are bounded.

--- a/src/dykemast/_internal/serving/knowledge/evacuations.py
+++ b/src/dykemast/_internal/serving/knowledge/evacuations.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from dykemast._internal.exceptions import NotUsableError
 from dykemast._internal.models.backend import Evacuations
 from dykemast._internal.platform.servers import EVACUATION_KIND
 from dykemast._internal.platform.store_types import StoreObject
@@ -26,6 +27,10 @@
     halls = set(board.evacuations.halls)
 
     def take_object(stored: StoreObject) -> None:
+        known = board.settings.regions
+        if known and stored.name not in known:
+            # Kept, it would stand in all news of all routers.
+            raise NotUsableError('there is no such hall.')
         halls.add(stored.name)
 
     def drop_object(name: str) -> None:
