--- /dev/null
+++ b/tests/unit/test_first_keepers.py
@@ -0,0 +1,35 @@
+"""Who keeps a budget in the first second after all routers were killed.
+
+Then nobody has heard of anybody: each of 87 routers took itself for the keeper
+of each budget, and within half a second 15 of them had written rows of one, each
+with tokens spare that it may never need.
+"""
+
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.tokens.budget_keepers import find_keeper
+from tests.lib.serving_boards import make_boards
+
+ROUTERS = 30
+WORKSPACE = 'joinville'
+
+
+def start_all() -> list[ServingBoard]:
+    """Make routers that know the list and have heard of nobody."""
+    boards = make_boards(ROUTERS)
+    for board in boards:
+        for peer in board.peers.values():
+            peer.heard_at = 0
+    return boards
+
+
+def list_keepers(boards: list[ServingBoard]) -> set[str]:
+    """List whom the routers would ask, themselves included."""
+    found = [(board, find_keeper(board, WORKSPACE)) for board in boards]
+    return {
+        keeper.instance if keeper else board.settings.name
+        for board, keeper in found
+    }
+
+
+def test_all_that_have_just_started_agree_on_a_keeper() -> None:
+    assert len(list_keepers(start_all())) == 1
