Routers that have just started agree on who keeps a budget

Cause: as in the test before: a keeper is chosen among those that are heard, and in the first moments nobody is. Change: in its first second a router chooses among the listed, which are the same for all that start at one moment. Later it goes by whom it hears, as before: a keeper that cannot be reached would cost each search its time. Ruled out: to wait until others are heard; a router that starts into a cut would hear nobody at all. Measured: one keeper for 30 routers where there were 30; the second test holds that a router cut off later keeps all itself.

--- a/src/dykemast/_internal/serving/state/board.py
+++ b/src/dykemast/_internal/serving/state/board.py
@@ -57,6 +57,7 @@
 
     :param settings: of this process; ``serving.reload``.
     :param incarnation: random, fresh for this process start.
+    :param started_at: seconds at which this process started.
     :param table: configuration in force; ``serving.configuration``.
     :param table_changed: set when another one came in force;
         ``serving.configuration``.
@@ -113,6 +114,7 @@
 
     settings: InstanceSettings
     incarnation: str
+    started_at: float = dataclasses.field(default_factory=read_clock)
     table: RoutingTable | None = None
     table_changed: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
--- a/src/dykemast/_internal/serving/tokens/budget_keepers.py
+++ b/src/dykemast/_internal/serving/tokens/budget_keepers.py
@@ -6,10 +6,21 @@
 and lends them. Who it is is a hint; the store arbitrates.
 """
 
+from collections.abc import Iterable
+from typing import Final
+
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.operations.rendezvous import choose_keeper
-from dykemast._internal.serving.state.board import ServingBoard, list_heard
+from dykemast._internal.serving.state.board import (
+    Peer,
+    ServingBoard,
+    list_heard,
+)
 from dykemast._internal.serving.state.fleet_size import is_large
+from dykemast._internal.utils.clock import read_clock
+
+#: Seconds after its start in which a router has not met the others yet.
+MEET_TIME: Final = 1.0
 
 
 def keeps(board: ServingBoard, workspace: str) -> bool:
@@ -29,6 +40,14 @@
     :param workspace: whose budget it is.
     :returns: its card; None when this router keeps it.
     """
-    cards = {peer.card.instance: peer.card for peer in list_heard(board)}
+    cards = {peer.card.instance: peer.card for peer in _list_reachable(board)}
     names = [board.settings.name, *cards]
     return cards.get(choose_keeper(workspace, names) or '')
+
+
+def _list_reachable(board: ServingBoard) -> Iterable[Peer]:
+    # Routers that start at one moment hear of each other one by one, and each
+    # would keep all budgets until then; the list is the same for all of them.
+    if read_clock() - board.started_at < MEET_TIME:
+        return board.peers.values()
+    return list_heard(board)
--- a/tests/unit/test_first_keepers.py
+++ b/tests/unit/test_first_keepers.py
@@ -1,22 +1,26 @@
 """Who keeps a budget in the first second after all routers were killed.
 
 Then nobody has heard of anybody: each of 87 routers took itself for the keeper
-of each budget, and within half a second 15 of them had written rows of one, each
-with tokens spare that it may never need.
+of each budget, and within half a second 15 of them had written rows of one,
+each with tokens spare that it may never need.
 """
 
 from dykemast._internal.serving.state.board import ServingBoard
-from dykemast._internal.serving.tokens.budget_keepers import find_keeper
+from dykemast._internal.serving.tokens.budget_keepers import (
+    MEET_TIME,
+    find_keeper,
+)
 from tests.lib.serving_boards import make_boards
 
 ROUTERS = 30
 WORKSPACE = 'joinville'
 
 
-def start_all() -> list[ServingBoard]:
-    """Make routers that know the list and have heard of nobody."""
+def start_all(age: float) -> list[ServingBoard]:
+    """Make routers that know the list, have heard of nobody, and are so old."""
     boards = make_boards(ROUTERS)
     for board in boards:
+        board.started_at -= age
         for peer in board.peers.values():
             peer.heard_at = 0
     return boards
@@ -32,4 +36,9 @@
 
 
 def test_all_that_have_just_started_agree_on_a_keeper() -> None:
-    assert len(list_keepers(start_all())) == 1
+    assert len(list_keepers(start_all(age=0))) == 1
+
+
+def test_who_hears_of_nobody_later_on_is_cut_off_and_keeps_all() -> None:
+    # To ask a keeper that cannot be reached would cost each search its time.
+    assert len(list_keepers(start_all(age=MEET_TIME + 0.1))) == ROUTERS
