A router of a large fleet that stops returns what it borrowed to the keeper

Change: a call take_back between routers; what is given is counted as lent before the call, so that a lost answer strands tokens and never creates any (the stateful fuzz of the ledger has the same two steps as lending). A router that is about to end takes nothing and keeps nothing. Who never wrote a row writes none to stop. Ruled out: rows of its own for what was borrowed: the keeper's row covers it already, and both would charge it.

--- a/src/dykemast/_internal/network/fleet.thrift
+++ b/src/dykemast/_internal/network/fleet.thrift
@@ -11,6 +11,10 @@
     i64 lend(1: string workspace, 2: i64 tokens, 3: string borrower,
         4: i64 spare)
         throws (1: Refused no),
+    // Tokens of a workspace's budget that a router does not need any more, for
+    // good; how many of them are taken.
+    i64 take_back(1: string workspace, 2: i64 tokens, 3: string giver)
+        throws (1: Refused no),
     // The configuration if it is newer; else empty.
     // The list of backend servers if it is newer; else empty.
     binary newer_servers(1: i64 above) throws (1: Refused no),
--- a/src/dykemast/_internal/network/fleet_calls.py
+++ b/src/dykemast/_internal/network/fleet_calls.py
@@ -65,5 +65,14 @@
         (TType.I64, 'spare'),
     ),
 )
+_add_call(
+    'take_back',
+    TType.I64,
+    (
+        (TType.STRING, 'workspace'),
+        (TType.I64, 'tokens'),
+        (TType.STRING, 'giver'),
+    ),
+)
 _add_call('newer_servers', TType.BINARY, ((TType.I64, 'above'),))
 _add_call('newer_configuration', TType.BINARY, ((TType.I64, 'above'),))
--- a/src/dykemast/_internal/serving/members/peer_calls.py
+++ b/src/dykemast/_internal/serving/members/peer_calls.py
@@ -9,15 +9,25 @@
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.members.peer_news import PeerNews
 
-#: Takes workspace, tokens, borrower, and what that would keep besides.
-Lend = Callable[..., Awaitable[int]]
+
+class TokenCalls(NamedTuple):
+    """Calls about tokens of budgets.
+
+    :param lend: takes workspace, tokens, borrower, and what that would keep
+        besides; gives tokens away.
+    :param take_back: takes workspace, tokens and giver; takes tokens.
+    """
+
+    lend: Callable[..., Awaitable[int]]
+    take_back: Callable[[str, int, str], Awaitable[int]]
 
 
 class _Calls(NamedTuple):
     """Calls by the names of the interface definition."""
 
     exchange: Callable[[bytes], Awaitable[bytes]]
-    lend: Lend
+    lend: Callable[..., Awaitable[int]]
+    take_back: Callable[[str, int, str], Awaitable[int]]
     newer_configuration: Callable[[int], Awaitable[bytes]]
     newer_servers: Callable[[int], Awaitable[bytes]]
 
@@ -25,13 +35,13 @@
 async def open_peer_server(
     board: ServingBoard,
     peer_news: PeerNews,
-    lend: Lend,
+    token_calls: TokenCalls,
 ) -> Any:
     """Listen for other routers.
 
     :param board: the blackboard.
     :param peer_news: writes and takes news.
-    :param lend: gives spare tokens away.
+    :param token_calls: lend and take tokens.
     :returns: the listening server, to be closed by its ``close``.
     """
 
@@ -46,5 +56,5 @@
         return server_lists.write_newer(board, above)
 
     endpoint = board.settings.listeners.peer
-    calls = _Calls(exchange, lend, newer_configuration, newer_servers)
+    calls = _Calls(exchange, *token_calls, newer_configuration, newer_servers)
     return await listen(Fleet, calls, endpoint.host, endpoint.port)
--- a/src/dykemast/_internal/serving/process/runtime.py
+++ b/src/dykemast/_internal/serving/process/runtime.py
@@ -45,7 +45,9 @@
     assembly = assemble(board)
     parts = assembly.parts
     peer_server = await peer_calls.open_peer_server(
-        board, assembly.links.peer_news, parts.budgets.lend
+        board,
+        assembly.links.peer_news,
+        peer_calls.TokenCalls(parts.budgets.lend, parts.budgets.take_back),
     )
     listeners = await _open_listeners(parts)
     tasks = _start_loops(assembly, listeners)
--- a/src/dykemast/_internal/serving/tokens/budget_keepers.py
+++ b/src/dykemast/_internal/serving/tokens/budget_keepers.py
@@ -48,6 +48,7 @@
 def _list_reachable(board: ServingBoard) -> Iterable[Peer]:
     # Routers that start at one moment hear of each other one by one, and each
     # would keep all budgets until then; the list is the same for all of them.
-    if read_clock() - board.started_at < MEET_TIME:
-        return board.peers.values()
-    return list_heard(board)
+    young = read_clock() - board.started_at < MEET_TIME
+    peers = board.peers.values() if young else list_heard(board)
+    # Who is about to end keeps nothing for others any more.
+    return (peer for peer in peers if not peer.card.leaving)
--- a/src/dykemast/_internal/serving/tokens/budget_upkeep.py
+++ b/src/dykemast/_internal/serving/tokens/budget_upkeep.py
@@ -4,8 +4,9 @@
 from typing import Final
 
 from dykemast._internal.serving.tokens.accounts import Account
-from dykemast._internal.serving.tokens.holds import Shortage
+from dykemast._internal.serving.tokens.holds import NEVER, Shortage
 from dykemast._internal.serving.tokens.budget_keepers import keeps
+from dykemast._internal.serving.state.fleet_size import is_large
 from dykemast._internal.serving.tokens.token_source import needs_loan
 from dykemast._internal.serving.tokens.upkeep import Upkeep, read_rows
 from dykemast._internal.utils.clock import read_clock
@@ -46,7 +47,7 @@
             if needs_write(upkeep, account):
                 upkeep.search.start(account, upkeep.writer.write(account))
             elif needs_loan(upkeep.board, account):
-                ahead = upkeep.search.borrow_ahead(account)
+                ahead = upkeep.search.source.borrow_ahead(account)
                 upkeep.search.start(account, ahead)
 
 
@@ -57,6 +58,11 @@
     :returns: whether the store has confirmed it of all budgets.
     """
     accounts = list(upkeep.budgets.accounts.values())
+    if is_large(upkeep.board):
+        returns = (upkeep.search.source.return_loans(one) for one in accounts)
+        await asyncio.gather(*returns)
+        # Who only borrowed has no row to write.
+        accounts = [one for one in accounts if one.written_at > NEVER]
     for account in accounts:
         _drop_spare(account)
     if not upkeep.writer.may_try():
--- a/src/dykemast/_internal/serving/tokens/budgets.py
+++ b/src/dykemast/_internal/serving/tokens/budgets.py
@@ -109,6 +109,22 @@
         note_lent(account, borrower, given)
         return given
 
+    async def take_back(self, workspace: str, tokens: int, giver: str) -> int:
+        """Take tokens that another router does not need any more.
+
+        :param workspace: whose budget they are of.
+        :param tokens: how many it gives.
+        :param giver: its instance.
+        :returns: how many are taken; none by a router that is about to end
+            as well.
+        """
+        if self._board.stopping or tokens < 0:
+            return 0
+        account = self.open_account(workspace)
+        account.allowance.borrowed += tokens
+        note_lent(account, giver, -tokens)
+        return tokens
+
     def _choose_reserve(self, priority: int) -> int:
         # In a large fleet, as much at each router would be all there is.
         urgent = priority < LATER_PRIORITY
--- a/src/dykemast/_internal/serving/tokens/loans.py
+++ b/src/dykemast/_internal/serving/tokens/loans.py
@@ -58,6 +58,40 @@
     return lenders[:MAX_LENDERS]
 
 
+async def return_tokens(
+    gossip: Gossip,
+    card: PeerCard,
+    account: Account,
+    tokens: int,
+) -> None:
+    """Give a peer tokens that this router does not need any more.
+
+    :param gossip: calls peers.
+    :param card: the peer.
+    :param account: the budget.
+    :param tokens: how many.
+    """
+    # Before the call: they may be spent there while its answer is under way.
+    given = account.allowance.lend(tokens)
+    if not given:
+        return
+    words = (account.workspace, given, account.identity.instance)
+    try:
+        taken = await gossip.call(card, 'take_back', *words)
+    except PeerError as error:
+        # If it took them without an answer, they must not be spent here.
+        _log('loan_not_returned', peer=card.instance, reason=str(error))
+        return
+    account.allowance.borrowed += given - taken
+    note_lent(account, card.instance, taken)
+    _log(
+        'tokens_returned',
+        workspace=account.workspace,
+        peer=card.instance,
+        tokens=taken,
+    )
+
+
 async def ask_lender(
     gossip: Gossip,
     card: PeerCard,
--- a/src/dykemast/_internal/serving/tokens/token_search.py
+++ b/src/dykemast/_internal/serving/tokens/token_search.py
@@ -54,7 +54,7 @@
 
     def __init__(self, source: TokenSource, writer: LedgerWriter) -> None:
         """Search for nothing yet."""
-        self._source = source
+        self.source = source
         self._writer = writer
 
     async def wait_for_tokens(
@@ -95,13 +95,6 @@
             work.close()
         return account.search
 
-    async def borrow_ahead(self, account: Account) -> None:
-        """Borrow before a request is short of tokens.
-
-        :param account: the budget, which another router keeps.
-        """
-        await self._source.borrow_ahead(account)
-
     async def refill(self, account: Account, tokens: int) -> None:
         """Look for tokens that a peer wants to borrow.
 
@@ -111,7 +104,7 @@
         if account.is_short_of(tokens):
             return
         with _pending(account, tokens):
-            search = self.start(account, self._source.find(account))
+            search = self.start(account, self.source.find(account))
             await asyncio.wait((search,), timeout=HOLD_PATIENCE)
         if account.allowance.count_room() < tokens:
             _note_shortage(account, tokens)
@@ -125,7 +118,7 @@
         limit = read_clock() + HOLD_PATIENCE
         # The first search may have begun before this request came.
         for _ in range(2):
-            search = self.start(account, self._source.find(account))
+            search = self.start(account, self.source.find(account))
             left = limit - read_clock()
             await asyncio.wait((search,), timeout=max(0, left))
             if account.allowance.take_hold(tokens, reserve):
--- a/src/dykemast/_internal/serving/tokens/token_source.py
+++ b/src/dykemast/_internal/serving/tokens/token_source.py
@@ -11,7 +11,11 @@
 from dykemast._internal.serving.state.fleet_size import is_large
 from dykemast._internal.serving.members.gossip import Gossip
 from dykemast._internal.serving.tokens.ledger_writer import LedgerWriter
-from dykemast._internal.serving.tokens.loans import ask_lender, borrow_tokens
+from dykemast._internal.serving.tokens.loans import (
+    ask_lender,
+    borrow_tokens,
+    return_tokens,
+)
 from dykemast._internal.utils.clock import read_clock
 
 #: Seconds of its own demand that a router borrows from a budget's keeper beyond
@@ -91,6 +95,16 @@
             # by all, its keeper would do little else.
             account.borrowed_at += SCARCE_PAUSE
 
+    async def return_loans(self, account: Account) -> None:
+        """Give the keeper what no request of this router holds.
+
+        :param account: the budget.
+        """
+        keeper = find_keeper(self._board, account.workspace)
+        if is_large(self._board) and keeper:
+            room = account.allowance.count_room()
+            await return_tokens(self._gossip, keeper, account, max(0, room))
+
     async def find(self, account: Account) -> None:
         """Find the tokens that requests wait for, and some to spare.
 
--- a/tools/hall_mutations.py
+++ b/tools/hall_mutations.py
@@ -48,6 +48,22 @@
         'and any(regions.get(server.hall) in home for home in homes)',
         'test_halls',
     ),
+    Mutation(
+        'stop without returning what was borrowed',
+        'tokens do not hang on one router',
+        f'{_INTERNAL}/serving/tokens/budget_upkeep.py',
+        'await asyncio.gather(*returns)',
+        'await asyncio.sleep(len(tuple(returns)) * float())',
+        'test_returned_loans',
+    ),
+    Mutation(
+        'choose a keeper among those that are heard at the start',
+        'tokens do not hang on one router',
+        f'{_INTERNAL}/serving/tokens/budget_keepers.py',
+        'peers = board.peers.values() if young else list_heard(board)',
+        'peers = list_heard(board) if young else list_heard(board)',
+        'test_first_keepers',
+    ),
     Mutation(
         'leave a budget to a keeper that cannot write',
         'tokens do not hang on one router',
