Fields of an answer that are no Latin-1 are passed on as they came

A caller whose backend server answered with any field beyond Latin-1, or with bytes that are no UTF-8, got no answer: the client library decodes fields as UTF-8 with surrogates, this router encoded them as Latin-1, and the UnicodeEncodeError is no failure that sends know.

--- a/src/dykemast/_internal/platform/answer_headers.py
+++ b/src/dykemast/_internal/platform/answer_headers.py
@@ -6,7 +6,9 @@
 from dykemast._internal.platform import names
 from dykemast._internal.utils.hop_fields import HOP_FIELDS
 
-_ENCODING: Final = 'latin-1'
+#: How the client library decodes fields; bytes that are no UTF-8 survive it.
+_ENCODING: Final = 'utf-8'
+_ERRORS: Final = 'surrogateescape'
 #: Answer of a server that is not the one that was meant.
 _MISDIRECTED: Final = 421
 
@@ -19,7 +21,7 @@
     :returns: the head.
     """
     headers = [
-        (name.lower().encode(_ENCODING), text.encode(_ENCODING))
+        (_encode(name.lower()), _encode(text))
         for name, text in fields.items()
         if name.lower() not in HOP_FIELDS
     ]
@@ -32,3 +34,7 @@
         headers=headers,
         delimited='content-length' in fields or 'transfer-encoding' in fields,
     )
+
+
+def _encode(text: str) -> bytes:
+    return text.encode(_ENCODING, _ERRORS)
