What a server asks for in its answers is decoded and logged

The head of each answer now holds them as Backpressure (fractions; senseless text asks for nothing; bounds for absurd ones), and 'server_asks' logs each change with the request whose answer said so. They are read in Upstreams.send, which every send passes, after the check that the answer is to this request and before the one whether it ran, since a 503 'not run' asks too; a 421 is another server's word and is left out. No decision changes. Stand-ins can put any fields on their answers.

--- a/src/dykemast/_internal/models/backend.py
+++ b/src/dykemast/_internal/models/backend.py
@@ -42,3 +42,17 @@
 
     revision: int = 0
     halls: frozenset[str] = frozenset()
+
+
+class Backpressure(NamedTuple):
+    """What one answer of a backend server asks for.
+
+    :param limit: requests a second that the server takes from all routers
+        together; None for any number.
+    :param leaving: whether it is about to end and takes no new requests.
+    :param rest: seconds for which it wants nothing from this router.
+    """
+
+    limit: float | None = None
+    leaving: bool = False
+    rest: float = 0
--- a/src/dykemast/_internal/models/forwarding.py
+++ b/src/dykemast/_internal/models/forwarding.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from dykemast._internal.models.backend import Backpressure
+
 
 class Forwarding(NamedTuple):
     """What a send to a backend server adds to the caller's fields.
@@ -31,6 +33,7 @@
         answered.
     :param headers: fields to be passed on.
     :param delimited: whether a length or chunks show where the body ends.
+    :param asks: what the server asks for.
     """
 
     status: int
@@ -40,3 +43,4 @@
     misdirected: bool
     headers: list[tuple[bytes, bytes]]
     delimited: bool
+    asks: Backpressure = Backpressure()
--- a/src/dykemast/_internal/platform/answer_headers.py
+++ b/src/dykemast/_internal/platform/answer_headers.py
@@ -1,7 +1,10 @@
 """Header fields of backend servers' answers."""
 
+import math
+from http import HTTPStatus
 from typing import Any, Final
 
+from dykemast._internal.models.backend import Backpressure
 from dykemast._internal.models.forwarding import AnswerHead
 from dykemast._internal.platform import names
 from dykemast._internal.utils.hop_fields import HOP_FIELDS
@@ -11,6 +14,13 @@
 _ERRORS: Final = 'surrogateescape'
 #: Answer of a server that is not the one that was meant.
 _MISDIRECTED: Final = 421
+_SAYS_SO: Final = '1'
+#: Requests a second that a server gets at least: only its next answer can end
+#: a limit, also one of zero.
+MIN_LIMIT: Final = 0.1
+#: Seconds of rest that an answer may ask for: a server that asked for more
+#: would get nothing for ever.
+MAX_REST: Final = 600.0
 
 
 def decode_answer(status: int, fields: Any) -> AnswerHead:
@@ -33,8 +43,30 @@
         misdirected=status == _MISDIRECTED,
         headers=headers,
         delimited='content-length' in fields or 'transfer-encoding' in fields,
+        asks=_decode_asks(status, fields),
     )
 
 
 def _encode(text: str) -> bytes:
     return text.encode(_ENCODING, _ERRORS)
+
+
+def _decode_asks(status: int, fields: Any) -> Backpressure:
+    limit = _read_number(fields.get(names.LIMIT))
+    rest = None
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        rest = _read_number(fields.get(names.RETRY_AFTER))
+    return Backpressure(
+        limit=None if limit is None else max(MIN_LIMIT, limit),
+        leaving=fields.get(names.LEAVING, '').strip() == _SAYS_SO,
+        rest=min(MAX_REST, rest or 0),
+    )
+
+
+def _read_number(text: str | None) -> float | None:
+    """Read a number from 0 on; None for any other text, and for none."""
+    try:
+        number = float(text or '')
+    except ValueError:
+        return None
+    return number if 0 <= number < math.inf else None
--- a/src/dykemast/_internal/platform/names.py
+++ b/src/dykemast/_internal/platform/names.py
@@ -32,6 +32,14 @@
 SIGNATURE: Final = 'x-response-seal'
 #: Says that the backend server did not run the request.
 NOT_RUN: Final = 'x-not-executed'
+#: Requests a second, a decimal number, that the backend server that answered
+#: takes from all routers together, for as long as its answers say so.
+LIMIT: Final = 'server-limit'
+#: ``1``: the backend server that answered is about to end.
+LEAVING: Final = 'server-leaving'
+#: Seconds, fractions too; in a 503 of a backend server the time for which it
+#: wants nothing from this router.
+RETRY_AFTER: Final = 'retry-after'
 
 #: First segments of the calls by which routers steer engines.
 ENGINE_CALLS: Final = frozenset(
--- a/src/dykemast/_internal/serving/knowledge/backends.py
+++ b/src/dykemast/_internal/serving/knowledge/backends.py
@@ -142,6 +142,7 @@
     board.lapsed.pop(name, None)
     board.leaving.discard(name)
     board.cold_until.pop(name, None)
+    board.asked.pop(name, None)
     gone = board.servers.pop(name, None)
     if gone:
         board.server_starts.pop(gone.server_id)
--- a/src/dykemast/_internal/serving/parts.py
+++ b/src/dykemast/_internal/serving/parts.py
@@ -1,10 +1,12 @@
 """Parts of the program that the way of a request needs."""
 
+from functools import partial
 from typing import NamedTuple
 
 from dykemast._internal.operations.cold_turns import ColdTurns
 from dykemast._internal.operations.retry_allowance import RetryAllowance
 from dykemast._internal.operations.server_trust import ServerTrust
+from dykemast._internal.serving.knowledge.backpressure import note_asks
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.tokens.budgets import Budgets
 from dykemast._internal.serving.state.loads import Loads
@@ -50,7 +52,7 @@
         loads=loads,
         trust=ServerTrust(),
         retries={},
-        upstreams=Upstreams(),
+        upstreams=Upstreams(partial(note_asks, board)),
         cold_turns=ColdTurns(board.settings.name, read_clock()),
         meters=make_meters(),
     )
--- a/src/dykemast/_internal/serving/sending/upstream.py
+++ b/src/dykemast/_internal/serving/sending/upstream.py
@@ -17,8 +17,10 @@
 from dykemast._internal.serving.sending.upstream_answer import (
     FAILURES,
     Answer,
+    NoteHead,
     check_head,
     is_break,
+    read_head,
 )
 from dykemast._internal.utils.clock import read_clock
 
@@ -29,10 +31,14 @@
 
 
 class Upstreams:
-    """Pooled connections to backend servers."""
+    """Pooled connections to backend servers.
 
-    def __init__(self) -> None:
+    :param note_head: takes note of the head of each answer.
+    """
+
+    def __init__(self, note_head: NoteHead) -> None:
         """Open no connection yet."""
+        self._note_head = note_head
         self._session: aiohttp.ClientSession | None = None
 
     @asynccontextmanager
@@ -48,9 +54,7 @@
         """
         response = await self._open(sending)
         try:
-            yield Answer(
-                check_head(sending.request.request_id, response), response
-            )
+            yield self._begin_answer(sending, response)
         except BaseException:
             response.close()
             raise
@@ -61,6 +65,16 @@
         if self._session:
             await self._session.close()
 
+    def _begin_answer(
+        self,
+        sending: Sending,
+        response: aiohttp.ClientResponse,
+    ) -> Answer:
+        head = read_head(sending.request.request_id, response)
+        self._note_head(sending.server, head)
+        check_head(head)
+        return Answer(head, response)
+
     async def _open(self, sending: Sending) -> aiohttp.ClientResponse:
         try:
             return await self._request(sending)
--- a/src/dykemast/_internal/serving/sending/upstream_answer.py
+++ b/src/dykemast/_internal/serving/sending/upstream_answer.py
@@ -1,16 +1,20 @@
 """Answers of backend servers."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Final, NamedTuple
 
 import aiohttp
 
 from dykemast._internal.exceptions import UpstreamError
+from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.models.forwarding import AnswerHead
 from dykemast._internal.platform.answer_headers import decode_answer
 from dykemast._internal.utils.clock import read_clock
 
+#: Takes note of the head of an answer of a server.
+NoteHead = Callable[[BackendServer, AnswerHead], None]
+
 #: Bytes of one answer at most.
 MAX_ANSWER: Final = 16_777_216
 #: What the client library raises when a connection or an answer fails.
@@ -78,22 +82,30 @@
     return not isinstance(error, TimeoutError)
 
 
-def check_head(
+def read_head(
     request_id: str,
     response: aiohttp.ClientResponse,
 ) -> AnswerHead:
-    """Check that an answer is one to a request, and that it ran.
+    """Read the head of an answer, and check that it is one to a request.
 
     :param request_id: id of the request.
     :param response: the answer.
     :returns: its head.
-    :raises UpstreamError: when it is not; tells whether the request may
-        have run.
+    :raises UpstreamError: when it answers another request.
     """
     head = decode_answer(response.status, response.headers)
     if head.request_id != request_id:
         # Whatever it says, it does not say it of this request.
         raise UpstreamError('answer to another request', sent=True)
+    return head
+
+
+def check_head(head: AnswerHead) -> None:
+    """Check that a request ran, by the head of its answer.
+
+    :param head: the head.
+    :raises UpstreamError: when it did not; tells whether it may have.
+    """
     if head.not_run:
         raise UpstreamError(
             f'not run, status {head.status}',
@@ -102,4 +114,3 @@
         )
     if _OK <= head.status < _FIRST_FAILURE and not head.signed:
         raise UpstreamError('the answer is not signed', sent=True)
-    return head
--- a/src/dykemast/_internal/serving/state/board.py
+++ b/src/dykemast/_internal/serving/state/board.py
@@ -5,7 +5,11 @@
 from collections.abc import Iterator
 from typing import Final
 
-from dykemast._internal.models.backend import BackendServer, Evacuations
+from dykemast._internal.models.backend import (
+    BackendServer,
+    Backpressure,
+    Evacuations,
+)
 from dykemast._internal.models.deployment import InstanceSettings
 from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.models.news import ListState, Strain
@@ -82,6 +86,8 @@
         they are listed; ``serving.backends`` and ``serving.gossip``.
     :param cold_until: seconds until which a server counts as cold, by name;
         ``serving.cold_servers``.
+    :param asked: what the last answer of a server asked for, by name;
+        ``serving.backpressure``.
     :param evacuations: halls that are being emptied;
         ``serving.evacuations``.
     :param peers: other routers by instance; ``serving.members`` adds and
@@ -135,6 +141,7 @@
     lapsed: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving: set[str] = dataclasses.field(default_factory=set)
     cold_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    asked: dict[str, Backpressure] = dataclasses.field(default_factory=dict)
     evacuations: Evacuations = Evacuations()
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     peers_read: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
--- a/tests/lib/backend_server.py
+++ b/tests/lib/backend_server.py
@@ -6,8 +6,9 @@
 sets ``fault``: nothing, ``shed`` (503, not run), ``error`` (500), ``cut``
 (breaks off midway), ``part`` (ends in the middle of an event), ``mute`` (no
 answer), ``unsigned``, ``other`` (answers another request) or
-``misdirected``; ``pause`` (seconds between events) and ``delay`` (seconds
-that a plain call takes). A request whose body begins with ``crash`` ends
+``misdirected``; ``pause`` (seconds between events), ``delay`` (seconds
+that a plain call takes) and ``fields`` (header fields of all its answers). A
+request whose body begins with ``crash`` ends
 the process when it begins to run it. It returns what ran, what it got and
 what arrived,
 with times of the clock that all processes of a machine share.
@@ -38,6 +39,7 @@
     'name': '',
     'pause': EVENT_PAUSE,
     'delay': 0,
+    'fields': {},
 }
 runs: list[dict[str, Any]] = []
 arrivals: list[tuple[str, float]] = []
@@ -51,7 +53,7 @@
     answered = request.headers.get('x-attempt-id', '')
     if state['fault'] == 'other':
         answered = 'somebody-else'
-    head = {'x-attempt-id': answered}
+    head = {'x-attempt-id': answered, **state['fields']}
     if state['fault'] != 'unsigned':
         name = state['name']
         head['x-response-seal'] = f'signed.{name}'
