--- a/tests/functional/test_cold_servers.py
+++ b/tests/functional/test_cold_servers.py
@@ -6,9 +6,9 @@
 
 import time
 import uuid
-from concurrent.futures import ThreadPoolExecutor
 from types import MappingProxyType
 
+from tests.lib.crowd import ask_all, check_refusals, find_busiest
 from tests.lib.deployment import Deployment
 from tests.lib.users_caller import Reply, stream
 
@@ -20,8 +20,6 @@
 SERVICE = MappingProxyType({'coldStartS': COLD_TIME, 'coldPerS': COLD_RATE})
 #: Seconds in which routers hear of a changed entry.
 HEAR_TIME = 1.0
-AT_ONCE = 1.0
-CALLERS = 16
 
 
 def start_three_engines() -> Deployment:
@@ -39,50 +37,18 @@
     time.sleep(HEAR_TIME)
 
 
-def ask_for(
-    deployment: Deployment, seconds: float
-) -> list[tuple[Reply, float]]:
-    """Ask all routers at once, again and again."""
-    until = time.monotonic() + seconds
-
-    def ask(number: int) -> list[tuple[Reply, float]]:
-        router = deployment.names[number % len(deployment.names)]
-        replies = []
-        while time.monotonic() < until:
-            asked_at = time.monotonic()
-            part = uuid.uuid4().hex
-            reply = stream(deployment, router=router, prompt=f'{part}:100')
-            replies.append((reply, time.monotonic() - asked_at))
-        return replies
-
-    with ThreadPoolExecutor(CALLERS) as pool:
-        return [one for found in pool.map(ask, range(CALLERS)) for one in found]
-
-
-def find_busiest(deployment: Deployment, server: str, since: float) -> int:
-    """Count the arrivals in the busiest second."""
-    arrivals = deployment.control(server)['arrivals']
-    times = sorted(at for _, at in arrivals if at >= since)
-    return max(
-        (sum(begin <= at < begin + 1 for at in times) for begin in times),
-        default=0,
-    )
-
-
-def check_refusals(refused: list[tuple[Reply, float]]) -> None:
-    assert refused
-    for reply, took in refused:
-        assert reply.status == 503
-        assert float(reply.headers['retry-after']) > 0
-        assert took < AT_ONCE
+def ask_stream(deployment: Deployment, router: str) -> Reply:
+    # Each prompt is new, so that no server keeps a part of it.
+    part = uuid.uuid4().hex
+    return stream(deployment, router=router, prompt=f'{part}:100')
 
 
 def test_all_routers_together_keep_to_what_a_cold_server_bears() -> None:
     deployment = start_three_engines()
     turn_cold(deployment, 'engine-2')
     since = time.monotonic()
-    replies = ask_for(deployment, COLD_TIME - 1)
-    assert {reply.status for reply, _ in replies} == {200}
+    asked = ask_all(deployment, ask_stream, COLD_TIME - 1)
+    assert {one.reply.status for one in asked} == {200}
     assert find_busiest(deployment, 'engine-2', since) <= MOST
     assert find_busiest(deployment, 'engine-0', since) > MOST
     deployment.stop()
@@ -93,8 +59,8 @@
     servers = ('engine-0', 'engine-1', 'engine-2')
     turn_cold(deployment, *servers)
     since = time.monotonic()
-    replies = ask_for(deployment, COLD_TIME - 1)
+    asked = ask_all(deployment, ask_stream, COLD_TIME - 1)
     for server in servers:
         assert 0 < find_busiest(deployment, server, since) <= MOST
-    check_refusals([one for one in replies if one[0].status != 200])
+    check_refusals(asked)
     deployment.stop()
--- /dev/null
+++ b/tests/lib/crowd.py
@@ -0,0 +1,63 @@
+"""Many callers that ask all routers at once, and what servers get of it."""
+
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
+
+from tests.lib.deployment import Deployment
+from tests.lib.users_caller import Reply
+
+CALLERS = 16
+#: Seconds in which a refusal is given.
+AT_ONCE = 1.0
+
+Ask = Callable[[Deployment, str], Reply]
+
+
+class Asked(NamedTuple):
+    """A reply, when it was asked for and how many seconds it took."""
+
+    reply: Reply
+    at: float
+    took: float
+
+
+def ask_all(deployment: Deployment, ask: Ask, seconds: float) -> list[Asked]:
+    """Ask all routers at once, again and again."""
+    until = time.monotonic() + seconds
+
+    def ask_one(number: int) -> list[Asked]:
+        router = deployment.names[number % len(deployment.names)]
+        replies = []
+        while time.monotonic() < until:
+            at = time.monotonic()
+            reply = ask(deployment, router)
+            replies.append(Asked(reply, at, time.monotonic() - at))
+        return replies
+
+    with ThreadPoolExecutor(CALLERS) as pool:
+        found = pool.map(ask_one, range(CALLERS))
+        return [one for replies in found for one in replies]
+
+
+def find_busiest(
+    deployment: Deployment, server: str, since: float, window: float = 1
+) -> int:
+    """Count the arrivals in the busiest window of some seconds."""
+    arrivals = deployment.control(server)['arrivals']
+    times = [at for _, at in arrivals if at >= since]
+    return max(
+        (sum(begin <= at < begin + window for at in times) for begin in times),
+        default=0,
+    )
+
+
+def check_refusals(asked: list[Asked]) -> None:
+    """Check that some were refused, each at once and as not run."""
+    refused = [one for one in asked if one.reply.status != 200]
+    assert refused
+    for one in refused:
+        assert one.reply.status == 503
+        assert float(one.reply.headers['retry-after']) > 0
+        assert one.took < AT_ONCE
