--- a/tests/lib/cases.py
+++ b/tests/lib/cases.py
@@ -36,7 +36,7 @@
 def _wrap(name: str, found: Any, full: str) -> Iterator[unittest.TestCase]:
     if name.startswith('test_') and inspect.isfunction(found):
         yield _make_case(found, full)
-    elif inspect.isclass(found) and name.endswith('Case'):
+    elif inspect.isclass(found) and issubclass(found, unittest.TestCase):
         yield from unittest.defaultTestLoader.loadTestsFromTestCase(found)
 
 
