Tests that fail: servers that ask for rest get requests

Fails beside a second server and for a service whose only server rests; that resumed streams leave it alone passes on this code, as trust keeps them away.

--- /dev/null
+++ b/tests/functional/test_resting_servers.py
@@ -0,0 +1,89 @@
+"""A server that turns a request away and asks for rest gets it."""
+
+import time
+
+from tests.lib.crowd import Ask, Asked, ask_all, check_refusals
+from tests.lib.deployment import Deployment
+from tests.lib.users_caller import Reply, send, stream
+
+#: Seconds of rest that servers ask for, those after which a router keeps to
+#: it, and requests that it may send nevertheless.
+REST = 2.5
+KNOW_TIME = 0.5
+MOST = 2
+
+
+def ask_stream(deployment: Deployment, router: str) -> Reply:
+    return stream(deployment, router=router)
+
+
+def ask_price(deployment: Deployment, router: str) -> Reply:
+    return send(deployment, '/price/1', router=router)
+
+
+def start(engines: int = 2) -> Deployment:
+    # Rest is asked of one router, so there is one.
+    deployment = Deployment(routers=1, engines=engines)
+    return deployment.start(prepaid=100_000_000)
+
+
+def ask_for_rest(deployment: Deployment, *servers: str) -> None:
+    for server in servers:
+        fields = {'retry-after': str(REST)}
+        deployment.control(server, fault='shed', fields=fields)
+
+
+def end_rest(deployment: Deployment, *servers: str) -> None:
+    for server in servers:
+        deployment.control(server, fault='', fields={})
+
+
+def count_early(deployment: Deployment, server: str, since: float) -> int:
+    """Count the arrivals in the rest that the first arrival led to."""
+    arrivals = deployment.control(server)['arrivals']
+    times = sorted(at for _, at in arrivals if at > since)
+    first = times[0]
+    return sum(first + KNOW_TIME < at < first + REST for at in times)
+
+
+def ask_while_resting(
+    deployment: Deployment, ask: Ask, *servers: str
+) -> list[Asked]:
+    """Ask while servers rest; check that each is left alone."""
+    ask_for_rest(deployment, *servers)
+    since = time.monotonic()
+    asked = ask_all(deployment, ask, REST)
+    for server in servers:
+        assert count_early(deployment, server, since) <= MOST, server
+    return asked
+
+
+def test_a_server_that_asks_for_rest_is_left_alone() -> None:
+    deployment = start()
+    asked = ask_while_resting(deployment, ask_stream, 'engine-1')
+    assert {one.reply.status for one in asked} == {200}
+    end_rest(deployment, 'engine-1')
+    time.sleep(REST)
+    asked = ask_all(deployment, ask_stream, 1)
+    assert any(b'engine-1' in one.reply.body for one in asked)
+    deployment.stop()
+
+
+def test_resumed_streams_leave_a_resting_server_alone() -> None:
+    deployment = start(3)
+    for server in ('engine-0', 'engine-2'):
+        deployment.control(server, fault='cut')
+    ask_while_resting(deployment, ask_stream, 'engine-1')
+    deployment.stop()
+
+
+def test_requests_are_refused_at_once_while_all_servers_rest() -> None:
+    deployment = start(1)
+    asked = ask_while_resting(deployment, ask_price, 'plain-0')
+    check_refusals(asked)
+    end_rest(deployment, 'plain-0')
+    # Who comes back when it was told to is served.
+    last = asked[-1]
+    time.sleep(float(last.reply.headers['retry-after']))
+    assert ask_price(deployment, 'node-0').status == 200
+    deployment.stop()
