A server that asks for rest is left alone

Cause: the Retry-After of a server's 503 was read by nobody; only trust kept from it, while its load was the least because it refused.

Same class as the limit: what an answer asks for. A rest is kept for the server until it is over, the longest counts, an answer that asks for none ends none. It holds the server back in the choice like a turn under a rate, and is checked again when the bytes go out. Rest is asked of one router, so peers are not told. Where all servers are held back, a request waits for as long as that serves and is else refused at once; its caller is told when the first server may get it, up to a quarter later, so that not all come back at one moment. That holds also after a server was tried and asked for rest: it was told 0.4 s. 'no_server' lines say which servers rest or are limited, the gauges count them.

--- a/src/dykemast/_internal/operations/server_asks.py
+++ b/src/dykemast/_internal/operations/server_asks.py
@@ -1,6 +1,7 @@
 """What backend servers ask for in their answers, as far as one router knows."""
 
 import dataclasses
+from collections.abc import Collection
 from typing import Final
 
 from dykemast._internal.models.backend import BackendServer, Backpressure
@@ -63,11 +64,42 @@
 
     :param last: by the last answer here.
     :param limits: that they named, here or to other routers.
+    :param rests: seconds until which they want nothing from this router.
     :param departed: those that were leaving and are not listed any more.
     """
 
     last: dict[str, Backpressure] = dataclasses.field(default_factory=dict)
     limits: ServerLimits = dataclasses.field(default_factory=ServerLimits)
+    rests: dict[str, float] = dataclasses.field(default_factory=dict)
     departed: DepartedServers = dataclasses.field(
         default_factory=DepartedServers
     )
+
+    def note_rest(self, server: str, until: float) -> None:
+        """Take note that a server asks for rest; the longest counts.
+
+        :param server: name of its start.
+        :param until: seconds until which it wants nothing.
+        """
+        self.rests[server] = max(until, self.rests.get(server, until))
+
+    def measure_rest(self, server: str, now: float) -> float:
+        """Measure for how long a server wants nothing from this router.
+
+        :param server: name of its start.
+        :param now: seconds.
+        :returns: seconds; 0 for no rest.
+        """
+        return max(0, self.rests.get(server, now) - now)
+
+    def forget(self, servers: Collection[str], now: float) -> None:
+        """Forget what is over, and servers that are gone.
+
+        :param servers: names of those that are listed.
+        :param now: seconds.
+        """
+        self.limits.keep_only(servers, now)
+        self.departed.forget(now)
+        for server, until in tuple(self.rests.items()):
+            if until < now:
+                self.rests.pop(server)
--- a/src/dykemast/_internal/serving/admission/gates.py
+++ b/src/dykemast/_internal/serving/admission/gates.py
@@ -7,6 +7,7 @@
     list_allowed,
     list_usable,
 )
+from dykemast._internal.serving.knowledge.backpressure import describe_holds
 from dykemast._internal.serving.knowledge.currency import (
     know_configuration,
     know_evacuations,
@@ -85,8 +86,10 @@
     :param ticket: the request.
     :returns: fields for the log.
     """
+    usable = list_usable(board, ticket.service.name)
     return {
-        'usable': len(list_usable(board, ticket.service.name)),
+        'usable': len(usable),
+        'held_back': describe_holds(board, usable),
         'emptied': sorted(board.evacuations.halls),
         'homes': [sorted(homes) for homes in ticket.list_homes()],
     }
--- a/src/dykemast/_internal/serving/choice/candidates.py
+++ b/src/dykemast/_internal/serving/choice/candidates.py
@@ -1,5 +1,6 @@
 """Backend servers that a request may go to, now or soon."""
 
+import math
 from collections.abc import Iterable
 
 from dykemast._internal.models.backend import BackendServer
@@ -76,6 +77,25 @@
     )
 
 
+def find_wait(
+    parts: Parts,
+    ticket: Ticket,
+    tried: Iterable[str] = (),
+) -> float:
+    """Find how long it takes until some server may get a request.
+
+    :param parts: parts of the program.
+    :param ticket: the request.
+    :param tried: servers that had it before.
+    :returns: seconds; infinite when none may, as far as is known.
+    """
+    waits = (
+        measure_wait(parts, ticket, server)
+        for server in list_untried(parts, ticket, tried)
+    )
+    return min(waits, default=math.inf)
+
+
 def note_chosen(parts: Parts, ticket: Ticket, server: BackendServer) -> None:
     """Take note that a server gets a request.
 
--- a/src/dykemast/_internal/serving/choice/outcomes.py
+++ b/src/dykemast/_internal/serving/choice/outcomes.py
@@ -72,4 +72,4 @@
         parts.loads.caches.keep_only(parts.board.servers)
         parts.trust.keep_only(parts.board.servers)
         parts.turns.keep_only(parts.board.servers)
-        parts.board.asks.limits.keep_only(parts.board.servers, read_clock())
+        parts.board.asks.forget(parts.board.servers, read_clock())
--- a/src/dykemast/_internal/serving/knowledge/backends.py
+++ b/src/dykemast/_internal/serving/knowledge/backends.py
@@ -34,7 +34,6 @@
         late = [name for name, until in board.lapsed.items() if until < now]
         for name in late:
             forget_server(board, name)
-        board.asks.departed.forget(now)
 
 
 def note_leaving(
--- a/src/dykemast/_internal/serving/knowledge/backpressure.py
+++ b/src/dykemast/_internal/serving/knowledge/backpressure.py
@@ -1,5 +1,9 @@
 """What backend servers ask for in their answers."""
 
+import itertools
+from collections.abc import Iterable
+from typing import Final
+
 from dykemast._internal.models.backend import BackendServer, Backpressure
 from dykemast._internal.models.forwarding import AnswerHead
 from dykemast._internal.operations.server_limits import NO_LIMIT
@@ -10,6 +14,9 @@
 
 _log = make_logger('backends')
 
+#: Servers that a line of the log describes.
+MAX_DESCRIBED: Final = 8
+
 
 def note_asks(
     board: ServingBoard,
@@ -27,6 +34,9 @@
         return
     if head.asks.leaving:
         _note_leaving(board, server)
+    if head.asks.rest:
+        until = read_clock() + head.asks.rest
+        board.asks.note_rest(server.name, until)
     if head.asks.limit or head.signed:
         # Only an answer of a run ends a limit: one that turns a request away
         # may come from a part of the server that knows of none.
@@ -35,6 +45,28 @@
     _log_change(board, server, head)
 
 
+def describe_holds(
+    board: ServingBoard,
+    servers: Iterable[BackendServer],
+) -> dict[str, str]:
+    """Describe what servers asked for that keeps requests from them.
+
+    :param board: the blackboard.
+    :param servers: of one service.
+    :returns: texts for the log by server, of some that are held back.
+    """
+    now = read_clock()
+    held: dict[str, str] = {}
+    for server in servers:
+        rest = board.asks.measure_rest(server.name, now)
+        limit = board.asks.limits.find(server.name)
+        if rest:
+            held[server.name] = f'rests {rest:.1f} s'
+        elif limit:
+            held[server.name] = f'limit {limit.rate}'
+    return dict(itertools.islice(held.items(), MAX_DESCRIBED))
+
+
 def _log_change(
     board: ServingBoard,
     server: BackendServer,
--- a/src/dykemast/_internal/serving/process/description.py
+++ b/src/dykemast/_internal/serving/process/description.py
@@ -29,6 +29,10 @@
         'servers_limited': sum(
             board.asks.limits.find(name) is not None for name in board.servers
         ),
+        'servers_resting': sum(
+            board.asks.measure_rest(name, now) > 0 for name in board.servers
+        ),
+        'servers_leaving': len(board.leaving),
         'loop_failures': board.loops.failures,
         'loops_failing': len(board.loops.list_failing(now)),
         'loop_late_s': round(board.watch.measure_lateness(now), 3),
--- a/src/dykemast/_internal/serving/relay/attempts.py
+++ b/src/dykemast/_internal/serving/relay/attempts.py
@@ -3,10 +3,13 @@
 from collections.abc import Awaitable, Callable
 
 from dykemast._internal.exceptions import UpstreamError
-from dykemast._internal.serving.admission.gates import SERVER_RETRY
 from dykemast._internal.serving.choice.outcomes import open_allowance
 from dykemast._internal.serving.relay.exchange import Exchange
-from dykemast._internal.serving.relay.retries import has_time, may_retry
+from dykemast._internal.serving.relay.retries import (
+    has_time,
+    may_retry,
+    measure_return_time,
+)
 from dykemast._internal.serving.relay.send_outcomes import (
     note_failure,
     note_success,
@@ -94,8 +97,9 @@
     ) -> RefusedError:
         details = {'tried': self.tried, 'reason': str(failure)}
         if not self.may_have_run:
+            return_time = measure_return_time(self._exchange)
             return refused or RefusedError(
-                RefusalCode.no_server, details, SERVER_RETRY
+                RefusalCode.no_server, details, return_time
             )
         if not has_time(self._ticket):
             return RefusedError(RefusalCode.too_late, details)
--- a/src/dykemast/_internal/serving/relay/retries.py
+++ b/src/dykemast/_internal/serving/relay/retries.py
@@ -1,9 +1,13 @@
-"""Whether a request may be sent once more."""
+"""Whether a request may be sent once more, or when its caller may come back."""
 
+import math
+import random
 from typing import Final
 
 from dykemast._internal.exceptions import UpstreamError
+from dykemast._internal.serving.admission.gates import SERVER_RETRY
 from dykemast._internal.serving.admission.quarantine import is_on_trial
+from dykemast._internal.serving.choice.candidates import find_wait
 from dykemast._internal.serving.choice.outcomes import open_allowance
 from dykemast._internal.serving.relay.exchange import Exchange
 from dykemast._internal.serving.requests.ticket import Ticket
@@ -14,6 +18,10 @@
 #: Servers tried for one request at most, those included that were not there:
 #: a few times what routes allow.
 MAX_SENDS: Final = 5
+#: Seconds after which a caller is told to come back at least, and times by
+#: which it may be told to come back later than a server may get its request.
+MIN_RETURN: Final = 0.01
+MAX_SPREAD: Final = 1.25
 
 
 def may_retry(exchange: Exchange, sends: int, error: UpstreamError) -> bool:
@@ -41,6 +49,19 @@
     return ticket.deadline - read_clock() >= MIN_TIME_LEFT
 
 
+def measure_return_time(exchange: Exchange) -> float:
+    """Measure when a caller may come back whose request no server takes now.
+
+    :param exchange: the request.
+    :returns: seconds until a server may get it, where all are held back.
+    """
+    wait = find_wait(exchange.parts, exchange.ticket)
+    if not wait or math.isinf(wait):
+        return SERVER_RETRY
+    # All who wait for that moment would else come back together.
+    return max(wait, MIN_RETURN) * random.uniform(1, MAX_SPREAD)
+
+
 def _is_allowed(exchange: Exchange, sends: int, error: UpstreamError) -> bool:
     ticket = exchange.ticket
     if error.sent and not ticket.is_repeatable():
--- a/src/dykemast/_internal/serving/relay/server_search.py
+++ b/src/dykemast/_internal/serving/relay/server_search.py
@@ -1,7 +1,6 @@
 """Find the backend server that a request is sent to next."""
 
 import asyncio
-import math
 from collections.abc import Iterable, Sequence
 from typing import Final
 
@@ -9,6 +8,7 @@
 from dykemast._internal.serving.admission import gates, quarantine
 from dykemast._internal.serving.choice import candidates, choices
 from dykemast._internal.serving.relay.exchange import Exchange
+from dykemast._internal.serving.relay.retries import measure_return_time
 from dykemast._internal.serving.requests.refusals import (
     RefusalCode,
     RefusedError,
@@ -37,8 +37,6 @@
         self._parts = parts
         self._ticket = ticket
         self._until = read_clock() + WAIT_SHARE * ticket.route.objective
-        #: Seconds after which it may come back, as far as is known.
-        self.return_time = gates.SERVER_RETRY
 
     def measure(self, tried: Iterable[str]) -> float:
         """Measure when to look for a server again.
@@ -46,15 +44,7 @@
         :param tried: servers that had it before.
         :returns: seconds; 0 when waiting does not help.
         """
-        servers = candidates.list_untried(self._parts, self._ticket, tried)
-        waits = (
-            candidates.measure_wait(self._parts, self._ticket, one)
-            for one in servers
-        )
-        wait = min(waits, default=math.inf)
-        if not math.isfinite(wait):
-            return 0
-        self.return_time = max(wait, STEP)
+        wait = candidates.find_wait(self._parts, self._ticket, tried)
         wait += STEP * (1 + self._ticket.route.priority)
         return wait if read_clock() + wait <= self._until else 0
 
@@ -79,7 +69,7 @@
             return server
         wait = patience.measure(tried)
         if not wait:
-            raise _refuse(exchange, tried, patience.return_time)
+            raise _refuse(exchange, tried)
         await asyncio.sleep(wait)
 
 
@@ -91,11 +81,9 @@
     return choices.choose_server(exchange.parts, exchange.ticket, tried, apart)
 
 
-def _refuse(
-    exchange: Exchange,
-    tried: Sequence[str],
-    return_time: float,
-) -> RefusedError:
-    halls = gates.describe_halls(exchange.parts.board, exchange.ticket)
+def _refuse(exchange: Exchange, tried: Sequence[str]) -> RefusedError:
+    parts = exchange.parts
+    halls = gates.describe_halls(parts.board, exchange.ticket)
     details = {'tried': tried, **halls}
+    return_time = measure_return_time(exchange)
     return RefusedError(RefusalCode.no_server, details, return_time)
--- a/src/dykemast/_internal/serving/sending/send_checks.py
+++ b/src/dykemast/_internal/serving/sending/send_checks.py
@@ -28,16 +28,18 @@
     :returns: seconds; infinite while only other routers may send to it.
     """
     now = read_clock()
+    rest = board.asks.measure_rest(server.name, now)
     bound = _find_rate(board, server.name, cold_rate, now)
     if bound is None:
-        return 0
+        return rest
     if not board.peers_read.is_set():
         # Who else sends there is not known.
         return math.inf
     routers = frozenset((board.settings.name, *board.peers))
-    return turns.measure_wait(
+    turn = turns.measure_wait(
         server.name, routers, bound.rate, now, bound.told_at
     )
+    return max(rest, turn)
 
 
 def check_send(
@@ -57,6 +59,8 @@
         sending.server.server_id
     ):
         raise HeldBackError('it leaves')
+    if board.asks.measure_rest(name, read_clock()):
+        raise HeldBackError('it rests')
     limit = board.asks.limits.find(name)
     if limit and limit.since > sending.made_at:
         raise HeldBackError('it has named a limit')
--- a/tests/functional/test_resting_servers.py
+++ b/tests/functional/test_resting_servers.py
@@ -83,7 +83,7 @@
     check_refusals(asked)
     end_rest(deployment, 'plain-0')
     # Who comes back when it was told to is served.
-    last = asked[-1]
+    last = max(asked, key=lambda one: one.at)
     time.sleep(float(last.reply.headers['retry-after']))
     assert ask_price(deployment, 'node-0').status == 200
     deployment.stop()
--- /dev/null
+++ b/tests/unit/test_send_checks.py
@@ -0,0 +1,130 @@
+"""What keeps a send from a server, when it is chosen and when bytes go out."""
+
+from typing import Final
+
+from dykemast._internal.exceptions import HeldBackError
+from dykemast._internal.models.backend import BackendServer, Backpressure
+from dykemast._internal.models.forwarding import AnswerHead
+from dykemast._internal.operations.server_turns import ServerTurns
+from dykemast._internal.serving.knowledge.backends import take_server
+from dykemast._internal.serving.knowledge.backpressure import note_asks
+from dykemast._internal.serving.sending.send_checks import (
+    check_send,
+    measure_wait,
+)
+from dykemast._internal.serving.sending.sending import Sending
+from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.utils.clock import read_clock
+from tests.lib.serving_boards import make_board, make_endpoint
+
+SERVER: Final = BackendServer(
+    name='i-1',
+    server_id='i-1',
+    service='shop',
+    endpoint=make_endpoint(9),
+    hall='north',
+    slots=6,
+    leaving=False,
+)
+TURNED_AWAY: Final = AnswerHead(
+    status=503,
+    request_id='r-1',
+    signed=False,
+    not_run=True,
+    misdirected=False,
+    headers=[],
+    delimited=True,
+)
+REST = 30.0
+LIMIT = 0.1
+
+
+def make_one() -> ServingBoard:
+    """Make a board that knows one server and no other router."""
+    board = make_board()
+    board.peers_read.set()
+    take_server(board, SERVER)
+    return board
+
+
+def answer(board: ServingBoard, **asks: float) -> None:
+    asked = Backpressure(**asks)
+    note_asks(board, SERVER, TURNED_AWAY._replace(asks=asked))
+
+
+def measure(board: ServingBoard) -> float:
+    turns = ServerTurns(board.settings.name, read_clock())
+    return measure_wait(board, turns, SERVER, 0)
+
+
+def is_held_back(board: ServingBoard, made_at: float) -> bool:
+    """Tell whether a send is held back that was chosen at a moment."""
+    sending = Sending(SERVER, None, b'', None, made_at + 1, made_at)
+    try:
+        check_send(board, sending)
+    except HeldBackError as error:
+        assert not error.sent
+        return True
+    return False
+
+
+def test_a_server_that_asks_for_nothing_may_get_a_request() -> None:
+    board = make_one()
+    answer(board)
+    assert not measure(board)
+    assert not is_held_back(board, read_clock())
+
+
+def test_a_rest_is_not_shortened_by_the_next_one() -> None:
+    board = make_one()
+    answer(board, rest=REST)
+    answer(board, rest=0.5)
+    assert measure(board) > REST - 1
+    answer(board, rest=2 * REST)
+    assert measure(board) > 2 * REST - 1
+
+
+def test_an_answer_that_asks_for_no_rest_ends_none() -> None:
+    board = make_one()
+    answer(board, rest=REST)
+    answer(board)
+    assert measure(board) > REST - 1
+
+
+def test_rest_and_limit_both_hold_a_server_back() -> None:
+    board = make_one()
+    answer(board, limit=LIMIT, rest=0.5)
+    assert measure(board) > 1 / LIMIT - 1
+    answer(board, rest=REST)
+    assert measure(board) > REST - 1
+
+
+def test_what_was_chosen_before_a_server_spoke_does_not_go_out() -> None:
+    for asks in ({'rest': REST}, {'limit': LIMIT}, {'leaving': True}):
+        board = make_one()
+        made_at = read_clock()
+        assert not is_held_back(board, made_at)
+        answer(board, **asks)
+        assert is_held_back(board, made_at), asks
+
+
+def test_a_turn_that_was_taken_under_a_limit_goes_out() -> None:
+    board = make_one()
+    answer(board, limit=LIMIT)
+    assert not is_held_back(board, read_clock())
+
+
+def test_a_refusal_that_names_no_limit_ends_none() -> None:
+    board = make_one()
+    answer(board, limit=LIMIT)
+    answer(board)
+    assert measure(board)
+
+
+def test_rests_that_are_over_are_forgotten() -> None:
+    board = make_one()
+    answer(board, rest=REST)
+    board.asks.forget((), read_clock())
+    assert board.asks.rests
+    board.asks.forget((), read_clock() + 2 * REST)
+    assert not board.asks.rests
--- a/tools/hall_mutations.py
+++ b/tools/hall_mutations.py
@@ -32,6 +32,22 @@
         'wait = 0 if turns.interval < now else sent_at',
         'test_cold_fuzz',
     ),
+    Mutation(
+        'let a shorter rest replace a longer one',
+        'a server that asks for rest is left alone',
+        f'{_INTERNAL}/operations/server_asks.py',
+        'max(until, self.rests.get(server, until))',
+        'until',
+        'test_send_checks',
+    ),
+    Mutation(
+        'send what was chosen before a server asked for rest',
+        'a server that asks for rest is left alone',
+        f'{_INTERNAL}/serving/sending/send_checks.py',
+        'if board.asks.measure_rest(name, read_clock()):',
+        'if board.asks.measure_rest(name, math.inf):',
+        'test_send_checks',
+    ),
     Mutation(
         'let another server speak for the one at its address',
         'a server that leaves gets nothing new',
