Who has no turn at a limited server tells no moment for it

A caller whose request no server took could be told to come back when the next router in rank would ask a server of which nothing was heard: 5 s a rank, where another router's turn comes within a second. Such a router's wait is unknown again until it is due, so that its callers are told 0.4 s, as for cold servers.

--- a/src/dykemast/_internal/operations/server_asks.py
+++ b/src/dykemast/_internal/operations/server_asks.py
@@ -75,6 +75,14 @@
         default_factory=DepartedServers
     )
 
+    def is_bound(self, server: str) -> bool:
+        """Tell whether a server may have asked for rest or named a limit.
+
+        :param server: name of its start.
+        :returns: whether it did at some time.
+        """
+        return server in self.rests or self.limits.find(server) is not None
+
     def note_rest(self, server: str, until: float) -> None:
         """Take note that a server asks for rest; the longest counts.
 
--- a/src/dykemast/_internal/operations/server_turns.py
+++ b/src/dykemast/_internal/operations/server_turns.py
@@ -103,9 +103,8 @@
         share = self._find_share(server, routers, rate)
         sent_at = self._sent_at.get(server, self._started_at)
         wait = max(0, sent_at + share.interval - now)
-        if share.behind <= 0:
-            return wait
-        return max(wait, heard_at + share.behind * UNHEARD_TIME - now)
+        asks_at = heard_at + share.behind * UNHEARD_TIME
+        return math.inf if share.behind > 0 and now < asks_at else wait
 
     def note_sent(self, server: str, now: float) -> None:
         """Take note that a server gets a request.
--- a/src/dykemast/_internal/serving/sending/send_checks.py
+++ b/src/dykemast/_internal/serving/sending/send_checks.py
@@ -27,19 +27,23 @@
         it bears what others do.
     :returns: seconds; infinite while only other routers may send to it.
     """
+    name = server.name
+    if name not in board.cold_until and not board.asks.is_bound(name):
+        # Nearly always, and each request looks at each server.
+        return 0
     now = read_clock()
-    rest = board.asks.measure_rest(server.name, now)
-    bound = _find_rate(board, server.name, cold_rate, now)
+    rest = board.asks.measure_rest(name, now)
+    bound = _find_rate(board, name, cold_rate, now)
     if bound is None:
         return rest
     if not board.peers_read.is_set():
         # Who else sends there is not known.
         return math.inf
     routers = frozenset((board.settings.name, *board.peers))
-    turn = turns.measure_wait(
-        server.name, routers, bound.rate, now, bound.told_at
+    return max(
+        rest,
+        turns.measure_wait(name, routers, bound.rate, now, bound.told_at),
     )
-    return max(rest, turn)
 
 
 def check_send(
--- a/tests/unit/test_limit_fuzz.py
+++ b/tests/unit/test_limit_fuzz.py
@@ -4,6 +4,7 @@
 oracle counts what reaches the server in each window.
 """
 
+import math
 import random
 
 from hypothesis import strategies as st
@@ -126,6 +127,13 @@
     assert not any(map(fleet.measure_wait, fleet.routers))
 
 
+def test_who_has_no_turn_does_not_know_when_it_will_have_one() -> None:
+    fleet = LimitedFleet(6, 1.8)
+    play(fleet, 4, heard=True)
+    waits = [fleet.measure_wait(router) for router in fleet.routers]
+    assert sum(map(math.isinf, waits)) == 5
+
+
 def test_the_next_router_asks_where_those_whose_turn_it_is_are_gone() -> None:
     fleet = LimitedFleet(6, 1.8)
     play(fleet, 4, heard=True)
--- a/tools/hall_mutations.py
+++ b/tools/hall_mutations.py
@@ -68,8 +68,8 @@
         'keep to a limit without regard to other routers',
         'a server gets no more than its limit',
         f'{_INTERNAL}/operations/server_turns.py',
-        'if share.behind <= 0:',
-        'if share.behind < math.inf:',
+        'math.inf if share.behind > 0 and',
+        'math.inf if share.behind < 0 and',
         'test_limit_fuzz',
     ),
     Mutation(
