The soak has servers that name a limit, leave and rest by their answers

Seeds from 4,000,000 on draw one to three servers that ask for something, and kills, planned stops and store faults beside them; a check counts each window of a limit over all routers, what comes after a router was told that a server leaves, and what a router sends in a rest.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -15,6 +15,9 @@
 #: Halls that are emptied and taken back, and servers that turn cold.
 HALL_SEED = 3_000_001
 
+#: All servers name a limit, and routers are killed and stopped beside it.
+ASK_SEED = 4_000_005
+
 
 def read_seeds() -> list[int]:
     words = [line.split() for line in SEEDS.read_text().splitlines()]
@@ -50,6 +53,10 @@
     assert not run.run_seed(HALL_SEED).broken
 
 
+def test_a_seed_with_servers_that_ask_keeps_the_promises() -> None:
+    assert not run.run_seed(ASK_SEED).broken
+
+
 def test_a_seed_with_one_server_quarantines_no_other_request() -> None:
     # Service was not back: 119 of 496 served, as two slow questions that are
     # always under way beside the request that ends the server were quarantined
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -3,6 +3,7 @@
 import random
 
 from tests.lib.users_objects import FOREIGN
+from tests.soak.asks import draw_asks
 from tests.soak.faults import Fault
 from tests.soak.halls import draw_halls
 from tests.soak.proxy import MODES
@@ -21,7 +22,9 @@
 FIRST_WITH_CRASHES = 2_000_000
 #: Plans from this one on have halls that are emptied, and cold servers.
 FIRST_WITH_HALLS = 3_000_000
-LAST_SEED = 4_000_000
+#: Plans from this one on have servers that ask for something in their answers.
+FIRST_WITH_ASKS = 4_000_000
+LAST_SEED = 5_000_000
 SERVERS = ('engine-0', 'engine-1', 'plain-0')
 STORE_FAULTS = ('away', 'silent', 'lose', 'deaf')
 CHANGES = ('raise', 'lower', 'routes')
@@ -33,6 +36,8 @@
     chance = random.Random(seed)
     if seed < FIRST_WITH_SERIES:
         return sorted(_draw_faults(chance, size, chance.randint(4, 9)))
+    if seed >= FIRST_WITH_ASKS:
+        return sorted(draw_asks(chance, FAULT_TIME))
     if seed >= FIRST_WITH_HALLS:
         return sorted(draw_halls(chance, FAULT_TIME))
     if seed >= FIRST_WITH_CRASHES:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from tests.soak.asks import find_unheeded
 from tests.soak.callers import NOT_RUN
 from tests.soak.changes import find_outdated
 from tests.soak.crashes import find_crash_storms
@@ -96,4 +97,5 @@
     find_crash_storms,
     find_sent_to_emptied,
     find_cold_crowds,
+    find_unheeded,
 )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 from tests.soak.faults import Fault
 from tests.soak.plan import (
     FAULT_TIME,
+    FIRST_WITH_ASKS,
     FIRST_WITH_CRASHES,
     FIRST_WITH_HALLS,
     FIRST_WITH_SERIES,
@@ -41,10 +42,10 @@
     """Play a seed."""
     plan = make_plan(seed, size)
     world = World(size, _choose_prepaid(seed))
-    if seed >= FIRST_WITH_HALLS:
+    if FIRST_WITH_HALLS <= seed < FIRST_WITH_ASKS:
         world.deployment.halls = dict(halls.HALLS)
         world.engine_service = dict(halls.SERVICE)
-    elif seed >= FIRST_WITH_CRASHES:
+    elif FIRST_WITH_CRASHES <= seed < FIRST_WITH_HALLS:
         # A process that stands still is then a machine that is suspended.
         world.deployment.router_module = 'tests.lib.suspended_router'
     world.start()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,7 +12,7 @@
     make_next_start,
     make_route,
 )
-from tests.soak import crashes, halls
+from tests.soak import asks, crashes, halls
 from tests.soak.faults import Fault
 from tests.soak.history import ROUTE_ADDED, End, History
 from tests.soak.links import Links
@@ -149,6 +149,16 @@
         self.deployment.control(fault.target, fault=fault.how)
         self._later(fault.lasts, self._mend, fault.target, {'fault': ''}, end)
 
+    def _ask(self, fault: Fault) -> None:
+        """Have a server ask for something; one that left starts again."""
+        end = asks.begin_ask(self.deployment, self.history, fault)
+        self._later(fault.lasts, self._end_ask, fault, end)
+
+    def _end_ask(self, fault: Fault, end: End) -> None:
+        self._mend(fault.target, {'fields': {}, 'fault': ''}, end)
+        if fault.how == 'leaving':
+            self._start_again(fault.target, end)
+
     def _leave(self, fault: Fault) -> None:
         stored = self.deployment.read_object('servers', fault.target)
         changed = ['servers', fault.target, {**stored, 'state': 'draining'}]
