Tests of the last check before a request is written, over a real connection

The check at the place where bytes go out was tested as a function, and its place by whole deployments only, where nothing but chance brings an answer between choice and connection. A send that is held back opens its connection and writes nothing; the head of an answer is noted for its server.

--- /dev/null
+++ b/tests/unit/test_upstreams.py
@@ -0,0 +1,98 @@
+"""What goes out to a backend server is checked when it has its connection."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from dykemast._internal.exceptions import HeldBackError
+from dykemast._internal.models.backend import BackendServer
+from dykemast._internal.models.deployment import Endpoint
+from dykemast._internal.models.forwarding import AnswerHead, Forwarding
+from dykemast._internal.platform.request_headers import decode_request
+from dykemast._internal.serving.sending.sending import Sending
+from dykemast._internal.serving.sending.upstream import Upstreams
+from dykemast._internal.utils.clock import read_clock
+
+HOST = '127.0.0.1'
+REQUEST_ID = 'r-1'
+PATIENCE = 5.0
+ANSWER = (
+    b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r-1\r\nX-Response-Seal: s\r\n'
+    b'Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n'
+)
+
+
+class Listener:
+    """A server that counts connections and keeps what it reads."""
+
+    def __init__(self) -> None:
+        self.connections = 0
+        self.read = b''
+
+    async def serve(self, reader, writer) -> None:
+        self.connections += 1
+        self.read += await reader.read(65536)
+        if self.read:
+            writer.write(ANSWER)
+            await writer.drain()
+        writer.close()
+
+
+@asynccontextmanager
+async def listen() -> AsyncIterator[tuple[Listener, Sending]]:
+    """Listen, and make a sending to the listener."""
+    listener = Listener()
+    server = await asyncio.start_server(listener.serve, HOST, 0)
+    async with server:
+        yield listener, make_sending(server.sockets[0].getsockname()[1])
+
+
+def make_sending(port: int) -> Sending:
+    scope = {
+        'method': 'GET',
+        'path': '/',
+        'raw_path': b'/',
+        'query_string': b'',
+        'headers': [(b'host', b'h'), (b'x-attempt-id', REQUEST_ID.encode())],
+    }
+    server = BackendServer(
+        'i-1', 'i-1', 'shop', Endpoint(HOST, port), 'north', 6, leaving=False
+    )
+    now = read_clock()
+    added = Forwarding('i-1', '', PATIENCE)
+    request = decode_request(scope)
+    return Sending(server, request, b'', added, now + PATIENCE, now)
+
+
+async def test_a_send_that_is_held_back_writes_nothing() -> None:
+    def hold_back(sending: Sending) -> None:
+        raise HeldBackError('on purpose')
+
+    held = False
+    async with listen() as (listener, sending):
+        upstreams = Upstreams(hold_back, lambda server, head: None)
+        try:
+            async with upstreams.send(sending):
+                raise AssertionError('it went out')
+        except HeldBackError as error:
+            held = not error.sent
+        await upstreams.close()
+        await asyncio.sleep(0.1)
+    assert held
+    assert listener.connections == 1
+    assert not listener.read
+
+
+async def test_the_head_of_an_answer_is_noted_for_its_server() -> None:
+    noted: dict[str, AnswerHead] = {}
+
+    def note_head(server: BackendServer, head: AnswerHead) -> None:
+        noted[server.name] = head
+
+    async with listen() as (listener, sending):
+        upstreams = Upstreams(lambda made: None, note_head)
+        async with upstreams.send(sending) as answer:
+            assert answer.head.signed
+        await upstreams.close()
+    assert b'x-expect-instance: i-1' in listener.read.lower()
+    assert noted['i-1'].asks.leaving
--- a/tools/hall_mutations.py
+++ b/tools/hall_mutations.py
@@ -48,6 +48,14 @@
         'if board.asks.measure_rest(name, math.inf):',
         'test_send_checks',
     ),
+    Mutation(
+        'write a request without a last check',
+        'what a server asks for holds until the bytes go out',
+        f'{_INTERNAL}/serving/sending/upstream_session.py',
+        'before_bytes.get()()',
+        'before_bytes.get()',
+        'test_upstreams',
+    ),
     Mutation(
         'let another server speak for the one at its address',
         'a server that leaves gets nothing new',
