--- a/tests/functional/test_leaving_servers.py
+++ b/tests/functional/test_leaving_servers.py
@@ -5,9 +5,14 @@
 
 import time
 
-from tests.lib.crowd import ask_all, check_refusals
+from tests.lib.crowd import (
+    ask_all,
+    ask_price,
+    ask_stream,
+    check_refusals,
+    start_plenty,
+)
 from tests.lib.deployment import Deployment
-from tests.lib.users_caller import Reply, send, stream
 from tests.lib.users_objects import make_next_start
 
 #: Seconds after which a server that leaves gets nothing more.
@@ -15,19 +20,6 @@
 ASK_TIME = 2.0
 
 
-def ask_stream(deployment: Deployment, router: str) -> Reply:
-    return stream(deployment, router=router)
-
-
-def ask_price(deployment: Deployment, router: str) -> Reply:
-    return send(deployment, '/price/1', router=router)
-
-
-def start(engines: int = 2) -> Deployment:
-    deployment = Deployment(routers=3, engines=engines)
-    return deployment.start(prepaid=100_000_000)
-
-
 def say_leaving(deployment: Deployment, server: str) -> None:
     deployment.control(server, fields={'server-leaving': '1'})
 
@@ -38,7 +30,7 @@
 
 
 def test_a_server_that_says_that_it_leaves_gets_nothing_new() -> None:
-    deployment = start()
+    deployment = start_plenty(3, 2)
     say_leaving(deployment, 'engine-1')
     since = time.monotonic()
     asked = ask_all(deployment, ask_stream, LEAVE_TIME + ASK_TIME)
@@ -48,7 +40,7 @@
 
 
 def test_resumed_streams_do_not_go_to_a_server_that_leaves() -> None:
-    deployment = start(3)
+    deployment = start_plenty(3, 3)
     say_leaving(deployment, 'engine-1')
     for server in ('engine-0', 'engine-2'):
         deployment.control(server, fault='cut')
@@ -59,7 +51,7 @@
 
 
 def test_requests_are_refused_at_once_when_the_only_server_leaves() -> None:
-    deployment = start(1)
+    deployment = start_plenty(3, 1)
     say_leaving(deployment, 'plain-0')
     since = time.monotonic()
     asked = ask_all(deployment, ask_price, LEAVE_TIME + ASK_TIME)
@@ -69,7 +61,7 @@
 
 
 def test_the_next_start_of_a_server_that_left_is_used() -> None:
-    deployment = start()
+    deployment = start_plenty(3, 2)
     say_leaving(deployment, 'engine-1')
     ask_all(deployment, ask_stream, 1)
     deployment.control('engine-1', fields={})
--- a/tests/functional/test_resting_servers.py
+++ b/tests/functional/test_resting_servers.py
@@ -1,10 +1,20 @@
-"""A server that turns a request away and asks for rest gets it."""
+"""A server that turns a request away and asks for rest gets it.
+
+Rest is asked of one router, so there is one.
+"""
 
 import time
 
-from tests.lib.crowd import Ask, Asked, ask_all, check_refusals
+from tests.lib.crowd import (
+    Ask,
+    Asked,
+    ask_all,
+    ask_price,
+    ask_stream,
+    check_refusals,
+    start_plenty,
+)
 from tests.lib.deployment import Deployment
-from tests.lib.users_caller import Reply, send, stream
 
 #: Seconds of rest that servers ask for, those after which a router keeps to
 #: it, and requests that it may send nevertheless.
@@ -13,20 +23,6 @@
 MOST = 2
 
 
-def ask_stream(deployment: Deployment, router: str) -> Reply:
-    return stream(deployment, router=router)
-
-
-def ask_price(deployment: Deployment, router: str) -> Reply:
-    return send(deployment, '/price/1', router=router)
-
-
-def start(engines: int = 2) -> Deployment:
-    # Rest is asked of one router, so there is one.
-    deployment = Deployment(routers=1, engines=engines)
-    return deployment.start(prepaid=100_000_000)
-
-
 def ask_for_rest(deployment: Deployment, *servers: str) -> None:
     for server in servers:
         fields = {'retry-after': str(REST)}
@@ -59,7 +55,7 @@
 
 
 def test_a_server_that_asks_for_rest_is_left_alone() -> None:
-    deployment = start()
+    deployment = start_plenty(1, 2)
     asked = ask_while_resting(deployment, ask_stream, 'engine-1')
     assert {one.reply.status for one in asked} == {200}
     end_rest(deployment, 'engine-1')
@@ -70,7 +66,7 @@
 
 
 def test_resumed_streams_leave_a_resting_server_alone() -> None:
-    deployment = start(3)
+    deployment = start_plenty(1, 3)
     for server in ('engine-0', 'engine-2'):
         deployment.control(server, fault='cut')
     ask_while_resting(deployment, ask_stream, 'engine-1')
@@ -78,7 +74,7 @@
 
 
 def test_requests_are_refused_at_once_while_all_servers_rest() -> None:
-    deployment = start(1)
+    deployment = start_plenty(1, 1)
     asked = ask_while_resting(deployment, ask_price, 'plain-0')
     check_refusals(asked)
     end_rest(deployment, 'plain-0')
--- a/tests/functional/test_server_limits.py
+++ b/tests/functional/test_server_limits.py
@@ -3,9 +3,16 @@
 import time
 from types import MappingProxyType
 
-from tests.lib.crowd import Ask, ask_all, check_refusals, find_busiest
+from tests.lib.crowd import (
+    Ask,
+    ask_all,
+    ask_price,
+    ask_stream,
+    check_refusals,
+    find_busiest,
+    start_plenty,
+)
 from tests.lib.deployment import Deployment
-from tests.lib.users_caller import Reply, send, stream
 
 #: Requests a second that a server takes, seconds from its first word on after
 #: which that holds, and seconds in which arrivals are counted.
@@ -19,19 +26,6 @@
 ASK_TIME = CONTACT_TIME + WINDOW + 0.5
 
 
-def ask_stream(deployment: Deployment, router: str) -> Reply:
-    return stream(deployment, router=router)
-
-
-def ask_price(deployment: Deployment, router: str) -> Reply:
-    return send(deployment, '/price/1', router=router)
-
-
-def start(engines: int = 3) -> Deployment:
-    deployment = Deployment(routers=3, engines=engines)
-    return deployment.start(prepaid=100_000_000)
-
-
 def find_most_by_limit(deployment: Deployment, server: str, ask: Ask) -> int:
     """Count what a server gets in a window once it has named a limit."""
     deployment.control(server, fields=dict(FIELDS))
@@ -41,7 +35,7 @@
 
 
 def test_a_servers_limit_is_not_exceeded_by_all_routers_together() -> None:
-    deployment = start()
+    deployment = start_plenty(3, 3)
     most = find_most_by_limit(deployment, 'engine-2', ask_stream)
     assert 0 < most <= MOST
     # The others serve what it does not take.
@@ -50,7 +44,7 @@
 
 
 def test_resumed_streams_do_not_exceed_a_servers_limit() -> None:
-    deployment = start()
+    deployment = start_plenty(3, 3)
     for server in ('engine-0', 'engine-1'):
         deployment.control(server, fault='cut')
     assert find_most_by_limit(deployment, 'engine-2', ask_stream) <= MOST
@@ -58,7 +52,7 @@
 
 
 def test_more_than_the_only_server_takes_is_refused_at_once() -> None:
-    deployment = start(engines=1)
+    deployment = start_plenty(3, 1)
     deployment.control('plain-0', fields=dict(FIELDS))
     since = time.monotonic() + CONTACT_TIME
     asked = ask_all(deployment, ask_price, ASK_TIME)
@@ -68,7 +62,7 @@
 
 
 def test_a_limit_that_is_over_holds_no_router_back() -> None:
-    deployment = start()
+    deployment = start_plenty(3, 3)
     deployment.control('engine-2', fields=dict(FIELDS))
     ask_all(deployment, ask_stream, 2)
     deployment.control('engine-2', fields={})
--- a/tests/lib/crowd.py
+++ b/tests/lib/crowd.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from tests.lib.deployment import Deployment
-from tests.lib.users_caller import Reply
+from tests.lib.users_caller import Reply, send, stream
 
 CALLERS = 16
 #: Seconds in which a refusal is given.
@@ -23,6 +23,19 @@
     took: float
 
 
+def ask_stream(deployment: Deployment, router: str) -> Reply:
+    return stream(deployment, router=router)
+
+
+def ask_price(deployment: Deployment, router: str) -> Reply:
+    return send(deployment, '/price/1', router=router)
+
+
+def start_plenty(routers: int, engines: int) -> Deployment:
+    """Start a deployment whose budget lasts."""
+    return Deployment(routers, engines).start(prepaid=100_000_000)
+
+
 def ask_all(deployment: Deployment, ask: Ask, seconds: float) -> list[Asked]:
     """Ask all routers at once, again and again."""
     until = time.monotonic() + seconds
