--- a/src/dykemast/_internal/operations/loop_health.py
+++ b/src/dykemast/_internal/operations/loop_health.py
@@ -6,8 +6,8 @@
 #: few rounds of the slowest loop that reads the store.
 STEADY_TIME: Final = 5.0
 #: Failures without such a time between them after which a loop counts as
-#: failing. By choice: one or two may be one bad answer, and a router that is
-#: not ready serves nobody.
+#: failing: one or two may be one bad answer, and a router that is not ready
+#: serves nobody.
 MAX_FAILURES: Final = 3
 #: Seconds before a loop that failed runs again, for each failure in a row,
 #: and at most: an entry that fails it each time must not take the processor.
--- a/src/dykemast/_internal/operations/planned_stop.py
+++ b/src/dykemast/_internal/operations/planned_stop.py
@@ -6,8 +6,8 @@
 
 #: Times the life of an entry answer for which a stopping router stays to
 #: answer callers that overstay it: most keep it once as long, some three
-#: times. By choice: later ones could only be refused, and staying for them
-#: would keep the instance away for longer.
+#: times. Later ones could only be refused, and staying for them would keep the
+#: instance away for longer.
 STAY_FACTOR: Final = 2
 #: Seconds that an entry answer takes to its caller, and the news of the stop
 #: to the routers that give such answers: some ten ms each, by the timeline of
--- a/src/dykemast/_internal/path/replays.py
+++ b/src/dykemast/_internal/path/replays.py
@@ -10,7 +10,7 @@
 from dykemast._internal.models.requests import Code, Ran, Refusal
 from dykemast._internal.path.parts import RefusedError
 
-#: Bytes of an answer that are recorded, to be replayed to a retry.
+#: Bytes of an answer that are recorded, to be given to a retry again.
 MAX_RECORDED: Final = 2048
 _DROPPED: Final = frozenset(
     (
--- a/src/dykemast/_internal/serving/admission/quarantine.py
+++ b/src/dykemast/_internal/serving/admission/quarantine.py
@@ -22,8 +22,8 @@
 #: Ends of servers from which on a request runs alone: it is not repeated, and
 #: a router has one of it in progress. The next end decides.
 TRIAL_ENDS: Final = 2
-#: Seconds after which a caller may come back while the same request is on
-#: trial: longer than a server that it ends takes to be noticed.
+#: Seconds after which a caller may come back while the same request runs
+#: alone: longer than a server that it ends takes to be noticed.
 TRIAL_RETRY: Final = 1.0
 #: Seconds after which one may come back to a router that has just started, or
 #: woken up, and asks which requests are in quarantine.
--- a/src/dykemast/_internal/serving/relay/send_outcomes.py
+++ b/src/dykemast/_internal/serving/relay/send_outcomes.py
@@ -36,7 +36,7 @@
     :param error: how it failed.
     """
     if not isinstance(error, HeldBackError):
-        # Of the server it tells nothing else.
+        # Not a failure of the server.
         note_outcome(exchange.parts, send.server, failed=True)
     note_break(exchange.parts.board, send, error)
     if error.absent:
--- a/src/dykemast/_internal/serving/tokens/accounts.py
+++ b/src/dykemast/_internal/serving/tokens/accounts.py
@@ -26,7 +26,7 @@
 BUDGET_KIND: Final = 'dykemast-budgets'
 #: Seconds for which a budget without free tokens is not written again to get
 #: some: others give back when their routers end, or at a new configuration.
-#: By choice: it bounds the calls for one budget to one a second and router.
+#: It bounds the calls for one budget to one a second and router.
 EMPTY_TIME: Final = 1.0
 
 
