Sends that broke off at one moment count as one end

Callers of a question that everybody asks saw it refused as `quarantined` while the servers of its service, or one server that two of them ran at, had just ended: a router counted each send that broke off as an end of its own, so that two at one moment put the question on trial, and others of it at the same router were refused until it was known what had become of the server.

Cause: `is_on_trial` added the number of broken sends to the number of ends, while ends count one after another.

Change: broken sends are runs like those of known ends, and both are counted by the same rule, one begun after the one before had ended. A request that ends servers still goes on trial by the second end, its repeat included.

The unit test fails before (four sends at one moment) and passes now.

--- a/src/dykemast/_internal/operations/broken_sends.py
+++ b/src/dykemast/_internal/operations/broken_sends.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import Final, NamedTuple
 
+from dykemast._internal.operations.crash_chains import Run
+
 #: Seconds from the first event on after which a run has begun well: whoever
 #: ends a server does so when it begins to run.
 BEGIN_TIME: Final = 1.0
@@ -84,14 +86,15 @@
         if not self._sends:
             self.pending.clear()
 
-    def count_of(self, request: str) -> int:
-        """Count the sends of a request that broke off as it had just begun.
+    def list_runs(self, request: str) -> list[Run]:
+        """List the runs of a request that broke off as it had just begun.
 
         :param request: its digest.
-        :returns: how many.
+        :returns: the runs, as if their servers had ended.
         """
-        return sum(
-            one.request == request and one.had_just_begun()
+        return [
+            Run(one.server, one.sent_at, one.broken_at)
             for sends in self._sends.values()
             for one in sends
-        )
+            if one.request == request and one.had_just_begun()
+        ]
--- a/src/dykemast/_internal/serving/admission/trials.py
+++ b/src/dykemast/_internal/serving/admission/trials.py
@@ -8,6 +8,7 @@
 
 from typing import Final
 
+from dykemast._internal.operations.crash_chains import find_chain
 from dykemast._internal.operations.crash_runs import TRIAL_ENDS, list_rivals
 from dykemast._internal.operations.rendezvous import choose_keeper
 from dykemast._internal.operations.request_identity import RequestIdentity
@@ -31,9 +32,12 @@
     if board.crashes.is_empty() and not board.broken.pending.is_set():
         return False
     request = identity.read()
+    if request in board.crashes.quarantines:
+        return True
     # What broke off a moment ago may turn out to be the end of a server.
-    ends = board.crashes.count_ends(request) + board.broken.count_of(request)
-    return ends >= TRIAL_ENDS or request in board.crashes.quarantines
+    known = board.crashes.chains.get(request, [])
+    ends = find_chain([*known, *board.broken.list_runs(request)])
+    return len(ends) >= TRIAL_ENDS
 
 
 def may_begin(board: ServingBoard, request: str, service: str) -> bool:
--- a/tests/unit/test_quarantine_gate.py
+++ b/tests/unit/test_quarantine_gate.py
@@ -120,6 +120,17 @@
     assert trials.is_on_trial(board, identity)
 
 
+def test_sends_that_broke_off_at_one_moment_count_as_one_end() -> None:
+    board = know_all(make_board())
+    identity = make_identity()
+    first = BrokenSend('a', identity.read(), 10, None, 11)
+    for server in 'aabc':
+        board.broken.note(first._replace(server=server))
+    assert not trials.is_on_trial(board, identity)
+    board.broken.note(first._replace(sent_at=12, broken_at=13))
+    assert trials.is_on_trial(board, identity)
+
+
 def test_when_a_quarantine_is_over_one_router_alone_tries() -> None:
     boards = [know_all(board) for board in make_boards(5)]
     let_on = 0
