A loss of all servers blames no request that was at some of them

Callers of a question that everybody asks got `quarantined` for ten minutes at all routers after its service had been lost some times; so did a single request that was alone at one of four servers when all were lost three times.

Servers to which a router had sent nothing were not known to have ended. One that had refused before it listened kept that moment as its end. An end counted as after another though the request had not been at that one. Of several sends to a server the last counted, so that a repeat in the loss seemed to follow an end. Ruled out: the question's own doing (the servers were killed), late news (all within 0.1 s), the busy machine alone (the single request is condemned at rest, too).

Change: for a second after an end the other servers of the service are asked, one after the other, until one is there: one connection where the service goes on. Broken sends tell when a server ended, a refusal only until then. A request that was not at a server did not end it. The earliest send counts.

The new functional test fails in its only play before, the three unit tests fail before; all pass now.

--- a/src/dykemast/_internal/operations/broken_sends.py
+++ b/src/dykemast/_internal/operations/broken_sends.py
@@ -8,6 +8,9 @@
 #: Seconds from the first event on after which a run has begun well: whoever
 #: ends a server does so when it begins to run.
 BEGIN_TIME: Final = 1.0
+#: Seconds within which ends count as one moment: what it takes until a loss of
+#: all servers of a service is noticed at each of them.
+MOMENT: Final = 1.0
 #: Seconds after which it does not matter any more why a send broke off: the
 #: entry of a server that ended is gone by then, or names another start.
 WAIT_TIME: Final = 6.0
@@ -45,7 +48,9 @@
     def __init__(self) -> None:
         """Know of none."""
         self._sends: dict[str, list[BrokenSend]] = {}
-        #: Set while there are any.
+        #: When a server last ended to which sends had broken off, by service.
+        self.ended_at: dict[str, float] = {}
+        #: Set while there are any, or such a server ended a moment ago.
         self.pending = asyncio.Event()
 
     def note(self, broken: BrokenSend) -> None:
@@ -56,6 +61,15 @@
         self._sends.setdefault(broken.server, []).append(broken)
         self.pending.set()
 
+    def note_end(self, service: str, now: float) -> None:
+        """Take note that a server ended whose sends broke off.
+
+        :param service: that it served.
+        :param now: seconds.
+        """
+        self.ended_at[service] = now
+        self.pending.set()
+
     def list_last(self) -> dict[str, float]:
         """List the servers whose sends broke off.
 
@@ -83,7 +97,12 @@
             for server, sends in self._sends.items()
             if now - sends[0].broken_at < WAIT_TIME
         }
-        if not self._sends:
+        self.ended_at = {
+            service: at
+            for service, at in self.ended_at.items()
+            if now - at < MOMENT
+        }
+        if not self._sends and not self.ended_at:
             self.pending.clear()
 
     def list_runs(self, request: str) -> list[Run]:
--- a/src/dykemast/_internal/operations/crash_evidence.py
+++ b/src/dykemast/_internal/operations/crash_evidence.py
@@ -20,6 +20,10 @@
     """
     fresh = Crash(now - crash.age, crash.service)
     known = table.crashes.setdefault(crash.server, fresh)
+    if crash.suspects and not known.sent_at:
+        # Until then only a refused connection told of it, which may have come
+        # late, or before the server listened.
+        known.ended_at = fresh.ended_at
     known.others = max(known.others, crash.others)
     refuted = crash.refuted and not known.refuted
     known.refuted = known.refuted or crash.refuted
@@ -62,7 +66,11 @@
 ) -> bool:
     before = set(known.sent_at)
     for suspect in crash.suspects:
-        known.sent_at.setdefault(suspect.request, now - suspect.sent_age)
+        # Of several sends the first may have ended it, and was there before
+        # what a later one seems to follow.
+        sent_at = now - suspect.sent_age
+        first_at = known.sent_at.get(suspect.request, sent_at)
+        known.sent_at[suspect.request] = min(first_at, sent_at)
     if len(known.sent_at) > MAX_SUSPECTS:
         ranked = rank_suspects(table, known)
         known.sent_at = {name: known.sent_at[name] for name in ranked}
--- a/src/dykemast/_internal/operations/crash_runs.py
+++ b/src/dykemast/_internal/operations/crash_runs.py
@@ -3,12 +3,10 @@
 from collections.abc import Iterator
 from typing import Final
 
+from dykemast._internal.operations.broken_sends import MOMENT
 from dykemast._internal.operations.crash_chains import Run
 from dykemast._internal.operations.crash_table import Crash, CrashTable
 
-#: Seconds within which ends count as one moment: what it takes until a loss of
-#: all servers of a service is noticed at each of them.
-MOMENT: Final = 1.0
 #: Ends of servers from which on a request runs alone: it is not repeated, and
 #: a router has one of it in progress. The next end decides.
 TRIAL_ENDS: Final = 2
@@ -95,8 +93,10 @@
 def _is_after(request: str, crash: Crash, other: Crash) -> bool:
     """Tell whether a request was sent to one server when the other had ended.
 
-    Then it may well have ended both.
+    If it was at both, it may well have ended both.
     """
     first, last = sorted((crash, other), key=Crash.read_end)
     sent_at = last.sent_at.get(request)
-    return sent_at is not None and sent_at > first.ended_at
+    if sent_at is None or request not in first.sent_at:
+        return False
+    return sent_at > first.ended_at
--- a/src/dykemast/_internal/serving/relay/crash_notes.py
+++ b/src/dykemast/_internal/serving/relay/crash_notes.py
@@ -3,12 +3,11 @@
 from typing import Final
 
 from dykemast._internal.models.crashes import ServerCrash, Suspect
-from dykemast._internal.operations.broken_sends import BrokenSend
+from dykemast._internal.operations.broken_sends import MOMENT, BrokenSend
 from dykemast._internal.operations.crash_evidence import (
     note_crash,
     refute_crash,
 )
-from dykemast._internal.operations.crash_runs import MOMENT
 from dykemast._internal.serving.knowledge.backends import list_usable
 from dykemast._internal.serving.relay.sends import Send
 from dykemast._internal.serving.state.board import ServingBoard
@@ -50,6 +49,8 @@
     if name in board.crashes.crashes and not sends:
         return
     now = read_clock()
+    if sends and service:
+        board.broken.note_end(service, now)
     crash = _describe_end(board, sends, ServerCrash(name, 0, (), service))
     _log(
         'server_ended',
--- a/src/dykemast/_internal/serving/relay/crash_probes.py
+++ b/src/dykemast/_internal/serving/relay/crash_probes.py
@@ -1,12 +1,20 @@
-"""Ask whether a backend server is still there."""
+"""Ask whether backend servers are still there.
+
+An end that all servers of a service share is nobody's fault, and those to which
+nothing was sent tell of theirs only when they are asked.
+"""
 
 import asyncio
 import contextlib
+import random
 from typing import Final
 
 from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.serving.choice.outcomes import note_absent
+from dykemast._internal.serving.knowledge.backends import list_usable
 from dykemast._internal.serving.parts import Parts
+from dykemast._internal.serving.relay.crash_notes import note_end
+from dykemast._internal.utils.clock import read_clock
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('crashes')
@@ -16,6 +24,30 @@
 PROBE_TIMEOUT: Final = 0.3
 
 
+async def probe_services(parts: Parts) -> None:
+    """Find out whether all servers ended of the services that lost one.
+
+    :param parts: parts of the program.
+    """
+    for service in tuple(parts.board.broken.ended_at):
+        await _ask_others(parts, service)
+
+
+async def _ask_others(parts: Parts, service: str) -> None:
+    """Ask one server after the other until one is there."""
+    board = parts.board
+    servers = list_usable(board, service)
+    random.shuffle(servers)
+    for server in servers:
+        crash = board.crashes.crashes.get(server.name)
+        if crash and crash.sent_at:
+            continue
+        await probe_server(parts, server)
+        if not parts.loads.absent.is_absent(server.name, read_clock()):
+            return
+        note_end(board, server.name, service)
+
+
 async def probe_server(parts: Parts, server: BackendServer) -> None:
     """Open a connection to a server; one that is refused shows that it ended.
 
--- a/src/dykemast/_internal/serving/relay/crash_watch.py
+++ b/src/dykemast/_internal/serving/relay/crash_watch.py
@@ -12,7 +12,10 @@
 from dykemast._internal.operations.broken_sends import BrokenSend
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.relay.crash_notes import note_end
-from dykemast._internal.serving.relay.crash_probes import probe_server
+from dykemast._internal.serving.relay.crash_probes import (
+    probe_server,
+    probe_services,
+)
 from dykemast._internal.serving.relay.sends import Send
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.clock import read_clock
@@ -61,6 +64,7 @@
         last = broken.list_last()
         looks = [_look(parts, name, at) for name, at in last.items()]
         await asyncio.gather(*looks)
+        await probe_services(parts)
         broken.forget(read_clock())
         await asyncio.sleep(LOOK_PAUSE)
 
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -8,13 +8,15 @@
 """
 
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
-from tests.lib.deployment import Deployment
+from tests.lib.deployment import START_PATIENCE, Deployment
 from tests.lib.server_keeper import ServerKeeper
 from tests.lib.users_caller import Reply, send, stream
 from tests.lib.users_objects import make_route, make_stream_route
+from tools.polling import poll_until
 
 CRASH = 'crash the server'
 #: Servers that a request may end before it counts as known, the seconds that
@@ -142,6 +144,20 @@
     time.sleep(ASK_PAUSE)
 
 
+def ask_once(play: Play, pool: ThreadPoolExecutor) -> None:
+    pool.submit(play.ask, 'hot', play.deployment.names[0])
+    time.sleep(ASK_PAUSE)
+
+
+def wait_all_there(play: Play) -> None:
+    """Wait until all servers listen; they are listed before."""
+    play.keeper.wait_all_up()
+    names = tuple(play.deployment.backend_ports)
+    assert poll_until(
+        lambda: all(map(play.deployment.is_listening, names)), START_PATIENCE
+    )
+
+
 def list_codes(play: Play) -> set[str | None]:
     return {
         event.get('code')
@@ -150,15 +166,26 @@
     }
 
 
-def test_a_hot_question_is_never_blamed_for_a_loss_of_all_servers() -> None:
-    # Everybody asks the same, so that each server that ends runs it.
+def check_losses(ask: Callable[[Play, ThreadPoolExecutor], None]) -> None:
+    """Lose all servers time and again, each time with a question there."""
     play = Play('/ask/hot/slow')
     for _ in range(4):
         with ThreadPoolExecutor() as pool:
-            ask_everywhere(play, pool)
+            ask(play, pool)
             lose_all_servers(play)
+    wait_all_there(play)
     replies = [play.ask('hot', router) for router in play.deployment.names]
     codes = list_codes(play)
     play.stop()
     assert {reply.status for reply in replies} == {200}
     assert 'quarantined' not in codes
+
+
+def test_a_hot_question_is_never_blamed_for_a_loss_of_all_servers() -> None:
+    # Everybody asks the same, so that each server that ends runs it.
+    check_losses(ask_everywhere)
+
+
+def test_the_only_request_is_never_blamed_for_a_loss_of_all_servers() -> None:
+    # Nothing is sent to the others, so that no send tells of their ends.
+    check_losses(ask_once)
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -98,6 +98,14 @@
         port = self.backend_ports[name]
         return call(f'http://127.0.0.1:{port}/control', fields)
 
+    def is_listening(self, name: str) -> bool:
+        """Tell whether the store or a server can be asked."""
+        try:
+            self.control(name)
+        except (url_error.URLError, OSError):
+            return False
+        return True
+
     def read_object(self, kind: str, name: str) -> Any:
         return self.control('store')['objects'][kind][name]['spec']
 
--- a/tests/unit/test_crash_review.py
+++ b/tests/unit/test_crash_review.py
@@ -132,6 +132,38 @@
     assert not table.count_ends('a')
 
 
+def test_a_loss_counts_for_nobody_where_one_server_had_refused_before() -> None:
+    # A server that has just been listed may not listen yet, so that its end is
+    # noted too early, before the request was sent to the others.
+    table = CrashTable()
+    for now in range(100, 150, 10):
+        idle = ServerCrash(f'{now}-idle', 0, (), SERVICE, 1)
+        note_crash(table, idle, now - 0.4)
+        end_server(table, f'{now}-busy', 1, now)
+        assert not review(table, now + SETTLE_TIME)
+    assert not table.count_ends('a')
+
+
+def test_broken_sends_tell_when_a_server_ended_that_had_refused() -> None:
+    table = CrashTable()
+    note_crash(table, ServerCrash('first', 0, (), SERVICE, 1), 99.5)
+    end_server(table, 'first', 1, 100)
+    end_server(table, 'second', 1, 100)
+    assert table.crashes['first'].ended_at == 100
+    note_crash(table, ServerCrash('first', 0, (), SERVICE, 1), 101)
+    assert table.crashes['first'].ended_at == 100
+
+
+def test_the_first_of_several_sends_to_a_server_counts() -> None:
+    # A loss of several servers, in which one send had just been repeated.
+    table = CrashTable()
+    end_server(table, 'first', 8, 100)
+    sends = (Suspect('a', 0.02), Suspect('a', 0.4))
+    note_crash(table, ServerCrash('second', 0, sends, SERVICE, 8), 100.1)
+    review(table, 102)
+    assert table.count_ends('a') == 1
+
+
 def test_a_request_that_ends_all_three_servers_in_turn_is_condemned() -> None:
     # Within a second, as one try and its repeat do; the service is small.
     table = CrashTable()
