An unexpected error of a request leaves a line with its id

A caller got 500 and nothing told why: the listener's own log is off, and the program logged refusals, callers that left and cuts alone.

Change: such an error is logged as `failed` with the id of its request, the reason and the innermost calls, counted among refusals, and passed on, so that the answer stays as it was. Calls are listed by what already did so for loops.

--- a/src/dykemast/_internal/serving/process/application.py
+++ b/src/dykemast/_internal/serving/process/application.py
@@ -43,7 +43,8 @@
         parts.board.inflight += 1
         parts.board.arrivals.note(1, started)
         try:
-            await _serve(parts, scope, receive, responder)
+            with records.tell_failure(parts, scope):
+                await _serve(parts, scope, receive, responder)
         except RefusedError as error:
             records.note_refusal(parts, error, find_request_id(scope), started)
             await responder.refuse(error)
--- a/src/dykemast/_internal/serving/process/records.py
+++ b/src/dykemast/_internal/serving/process/records.py
@@ -1,12 +1,16 @@
 """What is logged and counted of each request."""
 
-from typing import Final, NamedTuple
+import contextlib
+from collections.abc import Iterator
+from typing import Any, Final, NamedTuple
 
+from dykemast._internal.platform.request_headers import find_request_id
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.requests.ticket import Ticket
 from dykemast._internal.serving.requests.refusals import RefusedError
 from dykemast._internal.utils.clock import read_clock
 from dykemast._internal.utils.events import make_logger
+from dykemast._internal.utils.supervision import list_calls
 
 _log = make_logger('request')
 
@@ -59,6 +63,29 @@
     _log('caller_left', request=request_id, reason=str(error))
 
 
+@contextlib.contextmanager
+def tell_failure(parts: Parts, scope: Any) -> Iterator[None]:
+    """Log and count a request that an unexpected error ends.
+
+    :param parts: parts of the program.
+    :param scope: ASGI scope of the request.
+    :raises Exception: the error, as the listener ends the answer.
+    """
+    try:
+        yield
+    except (RefusedError, ConnectionError):
+        raise
+    except Exception as error:
+        parts.meters.refusals.inc({'code': 'failed'})
+        _log(
+            'failed',
+            request=find_request_id(scope),
+            reason=f'{type(error).__name__}: {error}',
+            calls=list_calls(error),
+        )
+        raise
+
+
 def note_cut(parts: Parts, cut: CutRequest) -> None:
     """Log and count a request that the end of this process cuts off.
 
--- a/src/dykemast/_internal/utils/supervision.py
+++ b/src/dykemast/_internal/utils/supervision.py
@@ -72,6 +72,16 @@
         await asyncio.sleep(pause)
 
 
+def list_calls(error: Exception) -> list[str]:
+    """List the innermost calls of a failure.
+
+    :param error: the failure.
+    :returns: names of functions and their lines.
+    """
+    inner = traceback.extract_tb(error.__traceback__)[-SHOWN_CALLS:]
+    return [f'{one.name}:{one.lineno}' for one in inner]
+
+
 async def _run_to_end(loop: Loop) -> tuple[str, list[str]]:
     """Run a loop until it fails.
 
@@ -80,7 +90,5 @@
     try:
         await loop.run()
     except Exception as error:
-        inner = traceback.extract_tb(error.__traceback__)[-SHOWN_CALLS:]
-        calls = [f'{one.name}:{one.lineno}' for one in inner]
-        return f'{type(error).__name__}: {error}', calls
+        return f'{type(error).__name__}: {error}', list_calls(error)
     return 'it returned.', []
