A test that failed once beside load is listed: a server that leaves

Nothing had reached the leaving server late; some answer had a status other than 200, and the test did not tell which.

Ruled out so far: load by busy processes alone. 34 plays of the test's steps (12 beside 6, 16 beside 12, 6 beside 28 of them, load up to 29) got 200 alone. What the answer was is not known, so the cause is not either: listed, open.

The test tells statuses and counts from now on; it holds what it held.

--- a/tests/functional/test_leaving_servers.py
+++ b/tests/functional/test_leaving_servers.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from collections import Counter
 
 from tests.lib.crowd import (
     ask_all,
@@ -34,8 +35,10 @@
     say_leaving(deployment, 'engine-1')
     since = time.monotonic()
     asked = ask_all(deployment, ask_stream, LEAVE_TIME + ASK_TIME)
-    assert not count_late(deployment, 'engine-1', since)
-    assert {one.reply.status for one in asked} == {200}
+    late = count_late(deployment, 'engine-1', since)
+    statuses = Counter(one.reply.status for one in asked)
+    assert not late, f'{late} of {len(asked)}'
+    assert set(statuses) == {200}, statuses
     deployment.stop()
 
 
