--- a/tests/unit/test_crash_review.py
+++ b/tests/unit/test_crash_review.py
@@ -133,8 +133,7 @@
 
 
 def test_a_loss_counts_for_nobody_where_one_server_had_refused_before() -> None:
-    # A server that has just been listed may not listen yet, so that its end is
-    # noted too early, before the request was sent to the others.
+    # A server that is listed before it listens refuses, and counts as ended.
     table = CrashTable()
     for now in range(100, 150, 10):
         idle = ServerCrash(f'{now}-idle', 0, (), SERVICE, 1)
