The comment on the time of turns keeps its reason alone

It told how long a run that clears a suspect takes, from which its value had come. What a reader needs is why it ends: the callers of the one router that has the turns may not ask for each of the requests.

--- a/src/dykemast/_internal/serving/admission/trials.py
+++ b/src/dykemast/_internal/serving/admission/trials.py
@@ -16,9 +16,8 @@
 from dykemast._internal.serving.state.board import ServingBoard, list_heard
 from dykemast._internal.utils.clock import read_clock
 
-#: Seconds since an end in which one router alone has these turns: its callers
-#: may not ask for each of them, and a run of an innocent one clears it, which
-#: takes some seconds with the time until the server is back.
+#: Seconds since an end in which one router alone has these turns; later all
+#: have, as the callers of one may not ask for each request.
 TURN_TIME: Final = 10.0
 
 
