Account of each workspace's tokens, and a line for a first event

Callers saw RECOVER's refusals; the lines could not tell what requests in progress at a loss had received (hypothesis 2) from what nobody had (1). A line first_event now says from when on a caller has received tokens, a row's line tells the spare of all rows together, and tools/token_account has a line for each workspace: paid, received, held by requests with and without a first event, spare, free, and left over at the least. Charges of processes moved to tools/token_charges.

--- a/src/dykemast/_internal/models/budget_ledger.py
+++ b/src/dykemast/_internal/models/budget_ledger.py
@@ -65,6 +65,13 @@
         charged = sum(row.charged for row in self.rows.values())
         return max(0, self.prepaid - self.closed - charged)
 
+    def count_spare(self) -> int:
+        """Count the tokens that rows allow beyond what was charged then.
+
+        :returns: tokens.
+        """
+        return sum(row.limit - row.charged for row in self.rows.values())
+
     def count_unspent(self) -> int:
         """Count the tokens that are not known to be consumed.
 
--- a/src/dykemast/_internal/serving/relay/pauses.py
+++ b/src/dykemast/_internal/serving/relay/pauses.py
@@ -36,7 +36,9 @@
     def note_event(self) -> None:
         """Note that an event has come."""
         now = read_clock()
-        if self._send.event_at is not None:
+        if self._send.event_at is None:
+            self._log_first(now)
+        else:
             self._note_pause(now - self._last, now)
         if self._send.note_event(now):
             note_well(self._board, self._send)
@@ -57,6 +59,15 @@
             longest_pause_s=round(self._longest, 3),
         )
 
+    def _log_first(self, now: float) -> None:
+        # From here on its caller has received tokens.
+        _log(
+            'first_event',
+            request=self._ticket.request.request_id,
+            server=self._engine,
+            took_s=round(now - self._ticket.started, 3),
+        )
+
     def _note_pause(self, pause: float, now: float) -> None:
         self._longest = max(self._longest, pause)
         objective = self._ticket.route.pause_objective
--- a/src/dykemast/_internal/serving/tokens/ledger_writer.py
+++ b/src/dykemast/_internal/serving/tokens/ledger_writer.py
@@ -144,6 +144,7 @@
         'version': ledger.version,
         'prepaid': ledger.prepaid,
         'free': ledger.count_free(),
+        'spare': ledger.count_spare(),
         'closed': ledger.closed,
         'closed_spent': ledger.closed_spent,
         'closed_spare': ledger.closed_spare,
--- a/tests/unit/test_token_account.py
+++ b/tests/unit/test_token_account.py
@@ -5,7 +5,8 @@
 from types import MappingProxyType
 from typing import Any
 
-from tools.token_account import Charge, read_dead, sum_charges
+from tools.token_account import Budget, read_budgets
+from tools.token_charges import Charge, decode_lines, read_dead, sum_charges
 
 
 def make_lines(process: str, *lines: Mapping[str, Any]) -> list[str]:
@@ -45,6 +46,10 @@
 SERVED = MappingProxyType({'event': 'served', 'request': 'a'})
 
 
+def reach(request: str, event: str) -> dict[str, Any]:
+    return {'event': event, 'request': request}
+
+
 def test_a_death_is_split_into_what_its_lines_tell() -> None:
     lines = make_lines(
         'first',
@@ -54,17 +59,32 @@
         admit('a', 300),
         ROW,
         admit('b', 200),
+        reach('b', 'send'),
+        admit('c', 30),
+        reach('c', 'send'),
+        reach('c', 'first_event'),
+        admit('d', 7),
         SETTLED,
         SERVED,
     )
     lines += ['not a line of ours', make_lines('first', ROW)[0][:-9]]
     lines += make_lines('second', {'event': 'started'}, ROW)
-    charge = sum_charges(read_dead(lines))
-    assert charge == Charge(900, 100, 250, 200, 1)
-    assert charge.count_spare() == 350
+    charges = sum_charges(read_dead(decode_lines(lines)))
+    assert charges == {'joinville': Charge(900, 100, 250, 30, 200, 7, 1)}
+    assert charges['joinville'].count_spare() == 320
 
 
 def test_processes_that_run_or_stopped_as_planned_are_left_out() -> None:
     lines = make_lines('first', ROW, {'event': 'stopped'})
     lines += make_lines('second', ROW)
-    assert not read_dead(lines)
+    assert not read_dead(decode_lines(lines))
+
+
+def test_what_nobody_can_have_received_is_left_of_a_budget() -> None:
+    row = {**ROW, 'prepaid': 5000, 'free': 0, 'revision': 3}
+    lines = make_lines('first', row, admit('b', 200), reach('b', 'send'))
+    lines += make_lines('second', SETTLED, {**row, 'revision': 4, 'free': 9})
+    budgets = read_budgets(list(decode_lines(lines)))
+    charge = Charge(900, 100, 0, 0, 200, 0, 1)
+    assert budgets == {'joinville': Budget(5000, 250, 9, charge)}
+    assert budgets['joinville'].count_left() == 5000 - 250 - 200
--- a/tools/token_account.py
+++ b/tools/token_account.py
@@ -1,141 +1,106 @@
-"""Tell from log lines where the tokens of ended processes went.
+"""Tell from log lines where the tokens of each workspace went.
 
 ``python -m tools.token_account LOG...``. A process that dies is charged with
-all that its last row allowed. By its own lines that is split into what it was
-known to have consumed, what it consumed after it wrote the row, what requests
-in progress held, and what was spare and nobody's.
+all that its last row allowed. By its own lines that is split into what callers
+received, what requests in progress held, and what was spare and nobody's.
 """
 
-import json
 import sys
-from collections import defaultdict
-from collections.abc import Iterable, Iterator
-from contextlib import suppress
+from collections import Counter
+from operator import itemgetter
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
-Line = dict[str, Any]
+from tools.token_charges import (
+    Charge,
+    Line,
+    decode_lines,
+    read_dead,
+    sum_charges,
+)
 
-#: Events with which a request ends.
-_ENDS = frozenset(('refused', 'served', 'caller_left', 'cut_by_stop'))
 
+class Budget(NamedTuple):
+    """What all lines tell of one workspace's budget, in tokens.
 
-class Charge(NamedTuple):
-    """What the death of one process costs one budget, in tokens.
-
-    :param limit: all that its last row allowed.
-    :param known: consumed by the time of that row.
-    :param later: consumed by requests that ended after it.
-    :param open_holds: held by requests that never ended, at their most.
-    :param rows: writes of the row.
+    :param paid: as the newest row says.
+    :param received: consumed by requests that ended.
+    :param free: in no row at the end.
+    :param charge: what the deaths of routers cost it.
     """
 
-    limit: int = 0
-    known: int = 0
-    later: int = 0
-    open_holds: int = 0
-    rows: int = 0
-
-    def count_spare(self) -> int:
-        """Count what nobody consumed or held."""
-        used = self.known + self.later + self.open_holds
-        return max(0, self.limit - used)
-
-    def add(self, other: 'Charge') -> 'Charge':
-        """Add another charge."""
-        pairs = zip(self, other, strict=True)
-        return Charge(*(one + more for one, more in pairs))
-
-
-class Process:
-    """What the lines of one process tell."""
-
-    def __init__(self) -> None:
-        """Know nothing yet."""
-        self._charges: dict[str, Charge] = defaultdict(Charge)
-        self._spent: dict[str, int] = defaultdict(int)
-        self._open: dict[str, Line] = {}
-        self.has_stopped = False
-
-    def take(self, line: Line) -> None:
-        """Take one line."""
-        event = line['event']
-        if event == 'budget_written':
-            self._take_row(line)
-        elif event == 'admitted':
-            self._open[line['request']] = line
-        elif event == 'settled':
-            self._spent[line['workspace']] += line['consumed']
-        elif event in _ENDS:
-            self._open.pop(line['request'], None)
-        self.has_stopped = self.has_stopped or event == 'stopped'
-
-    def list_charges(self) -> Iterator[Charge]:
-        """List what its end costs each budget."""
-        for workspace, charge in self._charges.items():
-            later = self._spent[workspace] - charge.known
-            held = sum(
-                line['tokens']
-                for line in self._open.values()
-                if line.get('workspace') == workspace
-            )
-            yield charge._replace(later=max(0, later), open_holds=held)
-
-    def _take_row(self, line: Line) -> None:
-        workspace = line['workspace']
-        charged = line['spent'] + line['held'] + line['lent']
-        limit = line['room'] + charged - line['borrowed']
-        rows = 1 + self._charges[workspace].rows
-        known = line['spent']
-        self._charges[workspace] = Charge(limit, known, rows=rows)
-
-
-def _decode_lines(texts: Iterable[str]) -> Iterator[Line]:
-    for text in texts:
-        start = text.find('{"at"')
-        # The last line of a process that is killed may be cut off.
-        with suppress(json.JSONDecodeError):
-            if start >= 0:
-                yield json.loads(text[start:])
-
-
-def read_dead(lines: Iterable[str]) -> list[Process]:
-    """Read log lines; whatever is none is passed over.
-
-    :param lines: of any number of instances, those of each in order.
-    :returns: processes that were followed by another on their instance, and
-        did not stop as planned.
+    paid: int = 0
+    received: int = 0
+    free: int = 0
+    charge: Charge = Charge()
+
+    def count_left(self) -> int:
+        """Count what callers can not have received."""
+        return self.paid - self.received - self.charge.count_held()
+
+
+def read_budgets(lines: list[Line]) -> dict[str, Budget]:
+    """Read what became of each workspace's budget.
+
+    :param lines: as for :func:`read_dead`.
+    :returns: budgets by workspace.
     """
-    by_instance: dict[str, dict[str, Process]] = defaultdict(dict)
-    for line in _decode_lines(lines):
-        starts = by_instance[line['instance']]
-        starts.setdefault(line['incarnation'], Process()).take(line)
-    ended = []
-    for starts in by_instance.values():
-        ended.extend(list(starts.values())[:-1])
-    return [process for process in ended if not process.has_stopped]
+    received: Counter[str] = Counter()
+    for line in lines:
+        if line['event'] == 'settled':
+            received[line['workspace']] += line['consumed']
+    charges = sum_charges(read_dead(lines))
+    return {
+        name: Budget(
+            paid=row['prepaid'],
+            received=received[name],
+            free=row['free'],
+            charge=charges.get(name, Charge()),
+        )
+        for name, row in _find_newest(lines).items()
+    }
+
+
+def _find_newest(lines: list[Line]) -> dict[str, Line]:
+    """Find the newest line of each budget's object."""
+    rows = (line for line in lines if line['event'] == 'budget_written')
+    known = [row for row in rows if 'prepaid' in row]
+    known.sort(key=itemgetter('revision'))
+    return {row['workspace']: row for row in known}
+
+
+_HEAD = 'workspace paid received begun unanswered spare free left rows'.split()
+
+
+def format_budget(workspace: str, budget: Budget) -> str:
+    """Format one line of the table."""
+    charge = budget.charge
+    return _format_cells(
+        workspace[:10],
+        budget.paid,
+        budget.received,
+        charge.begun,
+        charge.unanswered,
+        charge.count_spare(),
+        budget.free,
+        budget.count_left(),
+        charge.rows,
+    )
 
 
-def sum_charges(processes: Iterable[Process]) -> Charge:
-    """Add up what the ends of processes cost."""
-    total = Charge()
-    for process in processes:
-        for charge in process.list_charges():
-            total = total.add(charge)
-    return total
+def _format_cells(*cells: str | int) -> str:
+    padded = [f'{cell:>11}' for cell in cells]
+    return ''.join((*padded, '\n'))
 
 
 def main() -> None:
     """Run the program."""
     paths = map(Path, sys.argv[1:])
-    lines = '\n'.join(path.read_text() for path in paths)
-    total = sum_charges(read_dead(lines.splitlines()))
-    sys.stdout.write(
-        f'charged {total.limit}: known consumed {total.known}, '
-        f'consumed after the last row {total.later}, '
-        f'held by what never ended {total.open_holds}, '
-        f'spare {total.count_spare()}; {total.rows} rows written\n'
-    )
+    texts = '\n'.join(path.read_text() for path in paths)
+    budgets = read_budgets(list(decode_lines(texts.splitlines())))
+    sys.stdout.write(_format_cells(*_HEAD))
+    for workspace, budget in sorted(budgets.items()):
+        sys.stdout.write(format_budget(workspace, budget))
 
 
 if __name__ == '__main__':
