A reserve for urgent requests is one of the budget, not one at each router

Callers were refused for tokens that lay at routers as a reserve: the least urgent requests asked the store for 12,000 tokens beyond their own, at each router. At six or eight routers that is 72,000 to 96,000 of a small budget of 140,000 to 300,000, lost when the routers die. The large fleets had the same fault and were spared by a special case.

Cause: a bound kept by each router for itself. Now such a request leaves the reserve in the whole budget, as its object shows it, and asks for its own tokens alone; the special case went. Tests over the real search: on the code before, one asks for 13,000 where 1,000 are needed, and is refused with room for it and a budget of enough.

--- a/src/dykemast/_internal/operations/allowance.py
+++ b/src/dykemast/_internal/operations/allowance.py
@@ -36,16 +36,15 @@
         """
         return self._limit - self.count_charged()
 
-    def take_hold(self, tokens: int, reserve: int = 0) -> bool:
+    def take_hold(self, tokens: int) -> bool:
         """Set tokens aside for a request.
 
         A request that ends moves them from ``held`` to ``spent``.
 
         :param tokens: what it may consume at the most.
-        :param reserve: tokens to leave for others.
         :returns: whether there were as many.
         """
-        if self.count_room() < tokens + reserve:
+        if self.count_room() < tokens:
             return False
         self.held += tokens
         return True
--- a/src/dykemast/_internal/serving/tokens/accounts.py
+++ b/src/dykemast/_internal/serving/tokens/accounts.py
@@ -153,6 +153,21 @@
         return spare_size.measure_spare(ledger, self.identity, routers)
 
 
+def take_hold(account: Account, tokens: int, reserve: int) -> bool:
+    """Set tokens aside for a request.
+
+    :param account: the budget.
+    :param tokens: what it may consume at the most.
+    :param reserve: tokens of the whole budget to leave for others. Kept at
+        each router, they would be lost with the routers.
+    :returns: whether there were as many.
+    """
+    if reserve and account.ledger:
+        if account.ledger.count_unused() < tokens + reserve:
+            return False
+    return account.allowance.take_hold(tokens)
+
+
 def note_lent(account: Account, borrower: str, tokens: int) -> None:
     """Note that tokens were lent to another router, or came back.
 
--- a/src/dykemast/_internal/serving/tokens/budgets.py
+++ b/src/dykemast/_internal/serving/tokens/budgets.py
@@ -5,7 +5,11 @@
 from dykemast._internal.models.routing_table import Workspace
 from dykemast._internal.operations.allowance_terms import Identity
 from dykemast._internal.operations.spare_size import measure_loan
-from dykemast._internal.serving.tokens.accounts import Account, note_lent
+from dykemast._internal.serving.tokens.accounts import (
+    Account,
+    note_lent,
+    take_hold,
+)
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.tokens.budget_keepers import keeps
 from dykemast._internal.serving.state.fleet_size import is_large
@@ -14,7 +18,8 @@
 from dykemast._internal.utils.clock import read_clock
 
 
-#: Tokens that the least urgent requests leave for others: an urgent one.
+#: Tokens of a budget that the least urgent requests leave for others: an
+#: urgent one.
 URGENT_RESERVE: Final = 12_000
 #: First priority of a route that counts as not urgent.
 LATER_PRIORITY: Final = 2
@@ -68,8 +73,8 @@
         """
         account = self.open_account(workspace.name)
         account.demand.note(tokens, read_clock())
-        reserve = self._choose_reserve(priority)
-        if not account.allowance.take_hold(tokens, reserve):
+        reserve = URGENT_RESERVE if priority >= LATER_PRIORITY else 0
+        if not take_hold(account, tokens, reserve):
             await self._search.wait_for_tokens(account, tokens, reserve)
         return Hold(workspace.name, tokens)
 
@@ -124,8 +129,3 @@
         account.allowance.borrowed += tokens
         note_lent(account, giver, -tokens)
         return tokens
-
-    def _choose_reserve(self, priority: int) -> int:
-        # In a large fleet, as much at each router would be all there is.
-        urgent = priority < LATER_PRIORITY
-        return 0 if urgent or is_large(self._board) else URGENT_RESERVE
--- a/src/dykemast/_internal/serving/tokens/token_search.py
+++ b/src/dykemast/_internal/serving/tokens/token_search.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 from dykemast._internal.operations.return_time import measure_return_time
-from dykemast._internal.serving.tokens.accounts import Account
+from dykemast._internal.serving.tokens.accounts import Account, take_hold
 from dykemast._internal.serving.tokens.holds import Shortage
 from dykemast._internal.serving.tokens.ledger_writer import (
     LedgerWriter,
@@ -67,12 +67,12 @@
 
         :param account: the budget.
         :param tokens: how many.
-        :param reserve: how many to leave for others.
+        :param reserve: how many of the budget to leave for others.
         :raises RefusedError: when there are not enough in time.
         """
         if account.is_short_of(tokens + reserve):
             raise self._refuse(account, tokens)
-        with _pending(account, tokens + reserve):
+        with _pending(account, tokens):
             found = await self._try_twice(account, tokens, reserve)
         if not found:
             _note_shortage(account, tokens + reserve)
@@ -121,7 +121,7 @@
             search = self.start(account, self.source.find(account))
             left = limit - read_clock()
             await asyncio.wait((search,), timeout=max(0, left))
-            if account.allowance.take_hold(tokens, reserve):
+            if take_hold(account, tokens, reserve):
                 return True
         return False
 
--- /dev/null
+++ b/tests/unit/test_reserves.py
@@ -0,0 +1,62 @@
+"""Tokens that the least urgent requests leave for urgent ones."""
+
+import asyncio
+import contextlib
+
+from dykemast._internal.models.budget_ledger import BudgetLedger
+from dykemast._internal.models.routing_table import Workspace
+from dykemast._internal.operations.allowance_terms import Identity
+from dykemast._internal.serving.requests.refusals import RefusedError
+from dykemast._internal.serving.tokens.accounts import Account
+from dykemast._internal.serving.tokens.budgets import (
+    LATER_PRIORITY,
+    URGENT_RESERVE,
+    Budgets,
+)
+from dykemast._internal.serving.tokens.ledger_writer import LedgerWriter
+from dykemast._internal.serving.tokens.token_search import TokenSearch
+from tests.lib.serving_boards import make_boards
+
+
+class NoSearch:
+    """Finds no tokens, and keeps how many were asked for."""
+
+    def __init__(self) -> None:
+        self.pending = 0
+
+    async def find(self, account: Account) -> None:
+        self.pending = account.pending
+
+
+def make_budgets(source: NoSearch) -> Budgets:
+    board = make_boards(6)[0]
+    search = TokenSearch(source, LedgerWriter(board, store=None))
+    return Budgets(board, Identity('node-0', 'node-0/1'), search)
+
+
+def hold_late_request(unused: int | None, room: int) -> tuple[bool, int]:
+    """Tell whether one of the least urgent requests gets a hold."""
+    source = NoSearch()
+    budgets = make_budgets(source)
+    account = budgets.open_account('joinville')
+    account.allowance.borrowed = room
+    if unused is not None:
+        account.ledger = BudgetLedger(1, unused, {})
+    workspace = Workspace('joinville', 0, 1_000_000)
+    with contextlib.suppress(RefusedError):
+        asyncio.run(budgets.hold(workspace, 1000, LATER_PRIORITY))
+    return account.allowance.held == 1000, source.pending
+
+
+def test_the_least_urgent_leave_a_reserve_of_the_budget() -> None:
+    enough = 1000 + URGENT_RESERVE
+    assert hold_late_request(enough, room=1000) == (True, 0)
+    assert hold_late_request(enough - 1, room=1000) == (False, 1000)
+    # A router that only borrows does not know the budget.
+    assert hold_late_request(None, room=1000) == (True, 0)
+
+
+def test_no_router_asks_for_a_reserve_of_its_own() -> None:
+    # At each of 87 routers it was more than the whole budget, and at each of
+    # six most of a small one, which is lost when they die.
+    assert hold_late_request(1_000_000, room=0) == (False, 1000)
--- a/tools/fleet_mutations.py
+++ b/tools/fleet_mutations.py
@@ -6,9 +6,7 @@
 
 _INTERNAL: Final = 'dykemast/_internal'
 _OTHERS_CARRY_MORE: Final = 'return has_free_peer(board)'
-_RESERVE: Final = (
-    'return 0 if urgent or is_large(self._board) else URGENT_RESERVE'
-)
+_RESERVE: Final = 'URGENT_RESERVE if priority >= LATER_PRIORITY else 0'
 
 #: Mutations of these rules.
 FLEET_MUTATIONS: Final = (
@@ -117,20 +115,20 @@
         'test_a_server_that_is_not_there',
     ),
     Mutation(
-        'keep a reserve at each router of a large fleet',
+        'keep a reserve at each router',
         'tokens are usable',
-        f'{_INTERNAL}/serving/tokens/budgets.py',
-        _RESERVE,
-        'return 0 if urgent else URGENT_RESERVE',
-        'test_loans',
+        f'{_INTERNAL}/serving/tokens/accounts.py',
+        'return account.allowance.take_hold(tokens)',
+        'return account.allowance.take_hold(tokens + reserve)',
+        'test_reserves',
     ),
     Mutation(
         'keep no reserve anywhere',
         'urgent requests find tokens',
         f'{_INTERNAL}/serving/tokens/budgets.py',
         _RESERVE,
-        'return 0',
-        'test_loans',
+        '0',
+        'test_reserves',
     ),
     Mutation(
         'ask any routers for tokens',
