The spare of all rows of a budget has one bound, small budgets included

Cause: each router reckoned its share of what deaths may strand by itself, from the demand it saw, without what the other rows already had; shares reckoned one after the other add up to more than the whole. closed_spare came to 0.47 of a budget of 150,000 where 0.3 were the most.

Evidence: the fuzz with hot and idle routers breaks the bound in three steps on the code before; test_callers_get_what_losses_of_all_routers_may_not_cost left 61,260 of 150,000 tokens where 45,000 were the most.

Change: a row takes what the bound leaves beside all other rows. Whoever writes sees them, and the write is conditional, so that the sum holds.

--- a/src/dykemast/_internal/models/budget_ledger.py
+++ b/src/dykemast/_internal/models/budget_ledger.py
@@ -20,6 +20,13 @@
     charged: int
     demand: float
 
+    def count_spare(self) -> int:
+        """Count the tokens allowed beyond what was charged.
+
+        :returns: tokens.
+        """
+        return self.limit - self.charged
+
 
 class BudgetLedger(NamedTuple):
     """A workspace's budget in the store.
@@ -70,7 +77,7 @@
 
         :returns: tokens.
         """
-        return sum(row.limit - row.charged for row in self.rows.values())
+        return sum(row.count_spare() for row in self.rows.values())
 
     def count_unspent(self) -> int:
         """Count the tokens that are not known to be consumed.
--- a/src/dykemast/_internal/operations/return_time.py
+++ b/src/dykemast/_internal/operations/return_time.py
@@ -47,4 +47,4 @@
 
 
 def _estimate_spare(row: LedgerRow, age: float) -> float:
-    return row.limit - row.charged - age * row.demand
+    return row.count_spare() - age * row.demand
--- a/src/dykemast/_internal/operations/spare_size.py
+++ b/src/dykemast/_internal/operations/spare_size.py
@@ -7,11 +7,11 @@
 
 #: Part of the unused tokens that all routers together may keep spare. What
 #: is spare serves requests in a cut, and is lost when its router dies.
-SPARE_SHARE: Final = 0.5
+SPARE_SHARE: Final = 0.35
 #: Part of a budget that may be lost in all as spare of routers that died. What
 #: is kept spare shrinks as that is used up: deaths in series would else strand
 #: nearly all that nobody has consumed.
-LOSS_SHARE: Final = 0.3
+LOSS_SHARE: Final = 0.2
 #: Seconds of demand to keep spare at most, for cuts in which every router is
 #: alone: about as long as one lasts.
 SPARE_TIME: Final = 9.0
@@ -32,18 +32,31 @@
     """Measure how many tokens one router may keep spare.
 
     Spare tokens go where requests come: those of a workspace often meet one
-    router only.
+    router only. Those of all rows together never exceed what deaths may cost
+    the budget.
 
     :param ledger: the budget, with a row of the router.
     :param identity: the router.
     :param routers: routers that share the budget.
     :returns: tokens.
     """
-    demand = ledger.rows[identity.incarnation].demand
-    wanted = SPARE_FLOOR + SPARE_TIME * demand
-    share = _measure_share(ledger, demand, routers)
-    most = min(_measure_share_of_unused(ledger), _measure_risk(ledger))
-    return int(min(wanted, share * most))
+    row = ledger.rows[identity.incarnation]
+    wanted = SPARE_FLOOR + SPARE_TIME * row.demand
+    share = _measure_share(ledger, row.demand, routers)
+    most = measure_most(ledger)
+    # Shares are reckoned one after the other, as demand goes up and down, so
+    # that they may add up to more than the whole.
+    free = most - ledger.count_spare() + row.count_spare()
+    return max(0, int(min(wanted, share * most, free)))
+
+
+def measure_most(ledger: BudgetLedger) -> float:
+    """Measure how many tokens all routers together may keep spare.
+
+    :param ledger: the budget.
+    :returns: tokens.
+    """
+    return min(_measure_share_of_unused(ledger), _measure_risk(ledger))
 
 
 def measure_loan(ledger: BudgetLedger | None, spare: int) -> int:
--- a/src/dykemast/_internal/serving/tokens/loans.py
+++ b/src/dykemast/_internal/serving/tokens/loans.py
@@ -52,7 +52,7 @@
     rows = account.ledger.rows.values() if account.ledger else ()
     spare = collections.Counter(account.lent_to)
     for row in rows:
-        spare[row.instance] += row.limit - row.charged
+        spare[row.instance] += row.count_spare()
     lenders = random.sample(peers, len(peers))
     lenders.sort(key=lambda card: -spare[card.instance])
     return lenders[:MAX_LENDERS]
--- a/tests/functional/test_tokens_after_losses.py
+++ b/tests/functional/test_tokens_after_losses.py
@@ -11,7 +11,7 @@
 
 PREPAID = 150_000
 #: Part of what was paid that losses of routers may cost callers in all.
-MOST_LOST = 0.3
+MOST_LOST = 0.2
 LOSSES = 4
 #: Streams of a quiet workspace between two losses, over all routers.
 STREAMS = 12
--- a/tests/lib/ledger_world.py
+++ b/tests/lib/ledger_world.py
@@ -49,7 +49,14 @@
         self.consumed = 0
         self.routers = [Router(f'i{number}', 0) for number in range(3)]
 
-    def plan(self, router: Router, pending: int, *, spare: bool) -> Write:
+    def plan(
+        self,
+        router: Router,
+        pending: int,
+        *,
+        spare: bool,
+        demand: float = 100,
+    ) -> Write:
         allowance = router.allowance
         # A router that was not told of a change goes by the older version.
         router.version = router.version or self.version
@@ -58,7 +65,7 @@
             router.identity,
             Usage(allowance.spent, max(0, allowance.count_charged())),
             Terms(router.version, self.prepaid, len(self.routers)),
-            Want(pending, 100, spare),
+            Want(pending, demand, spare),
         )
         row = planned.rows[router.identity.incarnation]
         allowance.expect_limit(row.limit)
--- a/tests/unit/test_ledger_fuzz.py
+++ b/tests/unit/test_ledger_fuzz.py
@@ -12,10 +12,13 @@
     rule,
 )
 
+from dykemast._internal.operations.spare_size import LOSS_SHARE
 from tests.lib.ledger_world import World
 
 ROUTERS = st.integers(0, 2)
 TOKENS = st.integers(1, 400)
+#: Tokens a second; idle and hot.
+DEMAND = st.sampled_from((0, 100, 4000))
 
 
 class LedgerMachine(RuleBasedStateMachine):
@@ -47,11 +50,11 @@
     def read(self, number) -> None:
         self.world.read(self.world.routers[number])
 
-    @rule(number=ROUTERS, pending=TOKENS, spare=st.booleans())
-    def write(self, number, pending, spare) -> None:
+    @rule(number=ROUTERS, pending=TOKENS, spare=st.booleans(), demand=DEMAND)
+    def write(self, number, pending, spare, demand) -> None:
         """Write by what was last seen; a conflict shows the object."""
         router = self.world.routers[number]
-        write = self.world.plan(router, pending, spare=spare)
+        write = self.world.plan(router, pending, spare=spare, demand=demand)
         if self.world.apply(write):
             self.world.confirm(router)
         else:
@@ -114,6 +117,14 @@
     def grant_no_more_than_was_paid(self) -> None:
         assert self.world.count_granted() <= self.world.most_prepaid
 
+    @invariant()
+    def strand_no_more_than_losses_may_cost(self) -> None:
+        # As if all routers died now: what no request held is lost.
+        ledger = self.world.ledger
+        if ledger:
+            lost = ledger.closed_spare + ledger.count_spare()
+            assert lost <= LOSS_SHARE * self.world.most_prepaid
+
     def _tell(self, told) -> None:
         self.world.version += 1
         for number in told:
--- a/tools/stop_mutations.py
+++ b/tools/stop_mutations.py
@@ -85,4 +85,12 @@
         'LOSS_SHARE * ledger.prepaid',
         'test_deaths_of_all_routers',
     ),
+    Mutation(
+        'keep spare as if no other row had any',
+        'deaths strand a bounded part of a budget',
+        f'{_INTERNAL}/operations/spare_size.py',
+        'free = most - ledger.count_spare() + row.count_spare()',
+        'free = most',
+        'test_ledger_fuzz',
+    ),
 )
