--- a/tests/unit/test_loans.py
+++ b/tests/unit/test_loans.py
@@ -98,7 +98,8 @@
     used = lend_to_all(whole._replace(rows=rows))
     assert 0 < used < lend_to_all(whole)
     assert lend_to_all(whole._replace(closed=300_000)) == 0
-    assert lend_to_all(whole._replace(closed_spare=45_000)) == 0
+    lost = int(LOSS_SHARE * whole.prepaid)
+    assert lend_to_all(whole._replace(closed_spare=lost)) == 0
     # Somebody who knows nothing of the budget has nothing to weigh.
     assert measure_loan(None, 500, 0) == 500
 
