--- a/tests/unit/test_reserves.py
+++ b/tests/unit/test_reserves.py
@@ -57,6 +57,5 @@
 
 
 def test_no_router_asks_for_a_reserve_of_its_own() -> None:
-    # At each of 87 routers it was more than the whole budget, and at each of
-    # six most of a small one, which is lost when they die.
+    # Kept at each router it was most of a small budget, and lost with them.
     assert hold_late_request(1_000_000, room=0) == (False, 1000)
