Two comments keep what a value is for and lose how it came about

The comments on the time of news at a stop and on the turns of a call told of a timeline and of a count on loopback. They say what the values cover now; no value and no logic changed.

--- a/src/dykemast/_internal/operations/knowledge.py
+++ b/src/dykemast/_internal/operations/knowledge.py
@@ -12,9 +12,8 @@
 #: once more: the slowest store that users have seen takes 0.24 s, and a read
 #: that is due after 1.4 s has to end within 2.
 LATE_READ: Final = 0.3
-#: Turns of the event loop that one call takes over a new connection (7 over one
-#: that was kept; counted on loopback): a loop that is late at each of them
-#: makes a read late by itself.
+#: Turns of the event loop that one call takes over a new connection, the longer
+#: way: a loop that is late at each of them makes a read late by itself.
 TURNS_A_CALL: Final = 11
 
 
--- a/src/dykemast/_internal/operations/planned_stop.py
+++ b/src/dykemast/_internal/operations/planned_stop.py
@@ -10,8 +10,7 @@
 #: instance away for longer.
 STAY_FACTOR: Final = 2
 #: Seconds that an entry answer takes to its caller, and the news of the stop
-#: to the routers that give such answers: some ten ms each, by the timeline of
-#: a stop under load.
+#: to the routers that give such answers, also under load.
 NEWS_TIME: Final = 0.2
 #: Seconds for the last return of tokens: a write takes 4 ms, 0.3 s when the
 #: store is slow.
