--- a/src/dykemast/_internal/serving/sending/upstream.py
+++ b/src/dykemast/_internal/serving/sending/upstream.py
@@ -15,9 +15,10 @@
     UpstreamRequest,
 )
 from dykemast._internal.serving.sending.upstream_session import (
-    pre_send_check,
+    is_new_connection,
     make_url,
     open_session,
+    pre_send_check,
 )
 from dykemast._internal.serving.sending.upstream_response import (
     RESPONSE_ERRORS,
@@ -88,7 +89,7 @@
         try:
             return await self._request(outgoing)
         except _NO_CONNECTION as error:
-            text = f'cannot connect: {type(error).__name__}'
+            text = f'cannot connect: {describe_cause(error)}'
             raise UpstreamError(
                 text,
                 sent=False,
@@ -96,9 +97,13 @@
                 absent=_is_refused(error),
             ) from error
         except RESPONSE_ERRORS as error:
-            text = f'no response: {type(error).__name__}'
+            connection = 'new' if is_new_connection.get() else 'reused'
+            kind = type(error).__name__
+            text = f'no response on a {connection} connection: {kind}'
             raise UpstreamError(
-                text, sent=True, broken=is_connection_error(error)
+                text,
+                sent=True,
+                broken=is_connection_error(error),
             ) from error
 
     async def _request(
@@ -108,6 +113,7 @@
             self._session = open_session()
         request = outgoing.request
         pre_send_check.set(partial(self._check_send, outgoing))
+        is_new_connection.set(False)
         async with asyncio.timeout(outgoing.deadline - read_clock()):
             return await self._session.request(
                 request.method,
@@ -118,6 +124,17 @@
             )
 
 
+def describe_cause(error: Exception) -> str:
+    """Describe why there is no connection.
+
+    :param error: error of the client library.
+    :returns: its type, and the error of the system if there is one.
+    """
+    cause = getattr(error, 'os_error', None)
+    kind = type(error).__name__
+    return f'{kind}, {type(cause).__name__} {cause.errno}' if cause else kind
+
+
 def _is_refused(error: Exception) -> bool:
     """Check whether the connection was refused, not lost or timed out."""
     cause = getattr(error, 'os_error', None)
--- a/src/dykemast/_internal/serving/sending/upstream_session.py
+++ b/src/dykemast/_internal/serving/sending/upstream_session.py
@@ -25,6 +25,10 @@
 Check = Callable[[], None]
 #: Raises if the request of the current task must not be sent any more.
 pre_send_check: Final[ContextVar[Check]] = ContextVar('before_bytes')
+#: Whether the request of the current task opened its connection.
+is_new_connection: Final[ContextVar[bool]] = ContextVar(
+    'is_new_connection', default=False
+)
 
 
 class _CheckedRequest(aiohttp.ClientRequest):
@@ -36,13 +40,21 @@
         return await super().send(conn)
 
 
+class _Connector(aiohttp.TCPConnector):
+    """Pool of connections that tells which requests open one."""
+
+    async def _create_connection(self, *options: Any) -> Any:
+        is_new_connection.set(True)
+        return await super()._create_connection(*options)
+
+
 def open_session() -> aiohttp.ClientSession:
     """Open a connection pool that adds nothing to requests.
 
     :returns: the pool.
     """
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=_Connector(
             limit=0,
             keepalive_timeout=KEEP_ALIVE_S,
             socket_factory=make_socket,
