Serve callers through peers when a router loses its links to the servers

Callers of a router that was partitioned from all servers got 503 (or 502) for as long as that lasted: 0 of 86, 0 of 134 at the first try, while its peers reached every server.

Cause: a router had one path to a server, its own link, and took each failed connection for a fault of that server. It tried five servers over the same broken links, refused, and told peers and the store of absent and crashed servers that were well. Class: a local fault that is taken for one of the others.

Ruled out: requests on connections that were open before (the first cut fails within milliseconds on new ones).

Change: a connection that cannot be opened is opened through a peer, by a tunnel (HTTP CONNECT on the last port of the instance's range). It carries bytes, so holds, retries, resumed streams, crash evidence and unsafe requests work as over a direct connection, and the admitting router keeps them. A link that only a peer can replace is broken until a check shows otherwise; two of them and no direct connection since, and all requests use tunnels. A router without links reports itself overloaded, so that entry answers and open connections lead elsewhere while others have capacity. A refusal counts as absence only if a peer is refused too, and that peer connects to another server.

--- a/src/dykemast/_internal/controllers/loops.py
+++ b/src/dykemast/_internal/controllers/loops.py
@@ -6,7 +6,7 @@
 import logbook
 
 from dykemast._internal.controllers.assembly import Assembly
-from dykemast._internal.network.listener_watch import watch_listeners
+from dykemast._internal.network.listeners import watch_listeners
 from dykemast._internal.network.listeners import Listener
 from dykemast._internal.utils.supervision import (
     BackgroundLoop,
--- a/src/dykemast/_internal/exceptions.py
+++ b/src/dykemast/_internal/exceptions.py
@@ -129,6 +129,24 @@
         self.broken = broken
 
 
+class TunnelError(DykemastError):
+    """Another router opened no tunnel to a backend server.
+
+    :param status: HTTP status of its response: 502 if the server refuses
+        connections, 504 if the server cannot be reached, 403 if it is not
+        listed, 503 if the other router opens no tunnels now.
+    """
+
+    def __init__(self, text: str, status: int) -> None:
+        """Make an error; see the class for its parameters."""
+        super().__init__(text)
+        self.status = status
+
+
+class NoTunnelError(DykemastError):
+    """No peer opened a tunnel to a backend server."""
+
+
 class BackpressureError(UpstreamError):
     """Backpressure of a backend server; nothing was sent to it."""
 
--- a/src/dykemast/_internal/models/deployment.py
+++ b/src/dykemast/_internal/models/deployment.py
@@ -24,6 +24,8 @@
     :param entry: for entry requests: which addresses callers should use.
     :param peer: for calls of other routers.
     :param metrics: for scrapes of metrics.
+    :param tunnel: for tunnels of other routers to backend servers; None where
+        there is no port for it.
     """
 
     caller: Endpoint
@@ -31,6 +33,7 @@
     entry: Endpoint
     peer: Endpoint
     metrics: Endpoint
+    tunnel: Endpoint | None = None
 
 
 class Bounds(NamedTuple):
--- a/src/dykemast/_internal/models/gossip.py
+++ b/src/dykemast/_internal/models/gossip.py
@@ -2,10 +2,13 @@
 
 from typing import NamedTuple
 
-from dykemast._internal.models.backend import Evacuations, ServerLimit
+from dykemast._internal.models.backend import (
+    Evacuations,
+    LongPauses,
+    ServerLimit,
+)
 from dykemast._internal.models.crashes import CrashGossip
 from dykemast._internal.models.fleet import PeerCard
-from dykemast._internal.models.long_pauses import LongPauses
 
 
 class ServerLoad(NamedTuple):
--- a/src/dykemast/_internal/network/listeners.py
+++ b/src/dykemast/_internal/network/listeners.py
@@ -7,9 +7,14 @@
 
 import uvicorn
 
+from dykemast._internal.exceptions import ListenerEndedError
+
 #: Idle time after which the connection of a caller is closed.
 KEEP_ALIVE_S: Final = 30
 OPEN_TIMEOUT_S: Final = 10.0
+#: Three failed checks make the router not ready; the platform and callers check
+#: readiness every second.
+CHECK_INTERVAL_S: Final = 0.5
 _POLL_INTERVAL_S: Final = 0.01
 
 
@@ -64,6 +69,21 @@
     await asyncio.wait(ends, timeout=timeout_s)
 
 
+async def watch_listeners(listeners: list[Listener]) -> None:
+    """Check periodically that all listeners still serve.
+
+    :param listeners: the listeners.
+    :raises ListenerEndedError: when a listener has ended without being closed.
+    """
+    while True:
+        for listener in listeners:
+            if listener.serving.done() and not listener.should_exit:
+                raise ListenerEndedError(
+                    'a listener has ended; callers cannot connect.'
+                )
+        await asyncio.sleep(CHECK_INTERVAL_S)
+
+
 def _configure(app: Any, **address: Any) -> uvicorn.Config:
     return uvicorn.Config(
         app,
--- a/src/dykemast/_internal/network/sockets.py
+++ b/src/dykemast/_internal/network/sockets.py
@@ -30,7 +30,15 @@
     """
     made = socket.socket(*address[:3])
     made.setblocking(False)
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, setting in _OPTIONS:
-        made.setsockopt(socket.IPPROTO_TCP, option, setting)
+    set_options(made)
     return made
+
+
+def set_options(connection: Any) -> None:
+    """Set the options by which a socket detects an unreachable peer.
+
+    :param connection: the socket.
+    """
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, setting in _OPTIONS:
+        connection.setsockopt(socket.IPPROTO_TCP, option, setting)
--- a/src/dykemast/_internal/operations/engine_pauses.py
+++ b/src/dykemast/_internal/operations/engine_pauses.py
@@ -9,7 +9,7 @@
 import math
 from typing import Final, NamedTuple
 
-from dykemast._internal.models.long_pauses import LongPauses
+from dykemast._internal.models.backend import LongPauses
 
 #: Part of a route's objective below which a pause is ignored: pauses last about
 #: a tenth of the objective without a long prompt, and about the whole with one.
--- a/src/dykemast/_internal/platform/settings.py
+++ b/src/dykemast/_internal/platform/settings.py
@@ -78,14 +78,16 @@
 
 def _decode_listeners(reader: SettingsReader) -> Listeners:
     host = reader.read('ip', str)
-    first_port = reader.read('portRange', lambda ports: int(ports[0]))
+    ports = reader.read('portRange', lambda ports: list(map(int, ports)))
+    first_port, *_, last_port = ports or (0, 0)
     return Listeners(
         caller=reader.read('listen.frontend', decode_endpoint),
         readiness=reader.read('listen.readiness', decode_endpoint),
         # The entry endpoint tells callers which routers to use.
         entry=reader.read('listen.directory', decode_endpoint),
-        peer=Endpoint(host, first_port or 0),
+        peer=Endpoint(host, first_port),
         metrics=Endpoint(host, METRICS_PORT),
+        tunnel=Endpoint(host, last_port) if last_port > first_port else None,
     )
 
 
--- a/src/dykemast/_internal/serving/knowledge/periodic_reads.py
+++ b/src/dykemast/_internal/serving/knowledge/periodic_reads.py
@@ -12,8 +12,11 @@
 
 from dykemast._internal.exceptions import PlatformError
 from dykemast._internal.platform.objects import ObjectStore
-from dykemast._internal.serving.state.board import ServingBoard, list_live_peers
-from dykemast._internal.serving.state.fleet_size import is_large_fleet
+from dykemast._internal.serving.state.board import (
+    ServingBoard,
+    list_live_peers,
+    is_large_fleet,
+)
 from dykemast._internal.serving.knowledge.ages import compute_age
 from dykemast._internal.serving.knowledge.updates import Updater, apply_listing
 from dykemast._internal.serving.knowledge.store_state import (
--- a/src/dykemast/_internal/serving/members/gossip_messages.py
+++ b/src/dykemast/_internal/serving/members/gossip_messages.py
@@ -5,8 +5,11 @@
 from dykemast._internal.serving.knowledge import ages, backends
 from dykemast._internal.serving.knowledge.evacuations import apply_evacuations
 from dykemast._internal.serving.members import load_measurement, members
-from dykemast._internal.serving.state.board import ServingBoard, is_silent
-from dykemast._internal.serving.state.fleet_size import is_large_fleet
+from dykemast._internal.serving.state.board import (
+    ServingBoard,
+    is_silent,
+    is_large_fleet,
+)
 from dykemast._internal.serving.state.loads import Loads
 from dykemast._internal.serving.state.quarantines import (
     apply_crash_gossip,
--- a/src/dykemast/_internal/serving/members/gossip_partners.py
+++ b/src/dykemast/_internal/serving/members/gossip_partners.py
@@ -3,8 +3,12 @@
 import random
 from typing import Final
 
-from dykemast._internal.serving.state.board import Peer, ServingBoard, is_silent
-from dykemast._internal.serving.state.fleet_size import is_large_fleet
+from dykemast._internal.serving.state.board import (
+    Peer,
+    ServingBoard,
+    is_silent,
+    is_large_fleet,
+)
 from dykemast._internal.utils.clock import read_clock
 
 #: Seconds between two gossip rounds, and the deviation from it at most.
--- a/src/dykemast/_internal/serving/members/load_measurement.py
+++ b/src/dykemast/_internal/serving/members/load_measurement.py
@@ -31,9 +31,10 @@
     now = read_clock()
     carried = USABLE_SHARE * max_rate
     rate = board.arrivals.compute_rate(now)
-    if board.watch.is_overloaded(now):
+    if board.watch.is_overloaded(now) or board.links.isolated:
         # Requests that are not read yet are not counted, and the estimated
-        # work of a request is too low for the current ones.
+        # work of a request is too low for the current ones. Without links to
+        # the servers, each request takes capacity of a peer as well.
         rate = max(rate, OVERLOAD_FACTOR * carried)
     return RouterLoad(round(carried, 1), round(rate, 1))
 
--- a/src/dykemast/_internal/serving/members/own_entry.py
+++ b/src/dykemast/_internal/serving/members/own_entry.py
@@ -1,4 +1,4 @@
-"""This router's own entry in the list of routers."""
+"""This router's own entry in the list of routers, and in entry answers."""
 
 from typing import Final
 
@@ -14,6 +14,9 @@
 
 #: Kind of the objects by which routers register.
 MEMBER_KIND: Final = 'dykemast-routers'
+#: Long enough that callers ask rarely, short enough that they leave a router
+#: that stops in time.
+ENTRY_TTL_S: Final = 1.5
 
 
 async def register_self(board: ServingBoard, store: ObjectStore) -> None:
@@ -36,6 +39,15 @@
         await _write(store, replaced, created)
 
 
+def compute_entry_ttl(board: ServingBoard) -> float:
+    """Compute how long callers may cache an entry answer.
+
+    :param board: the blackboard.
+    :returns: seconds.
+    """
+    return min(ENTRY_TTL_S, board.settings.bounds.max_entry_ttl)
+
+
 async def _write(
     store: ObjectStore,
     likely: StoreObject,
--- a/src/dykemast/_internal/serving/parts.py
+++ b/src/dykemast/_internal/serving/parts.py
@@ -13,7 +13,11 @@
 from dykemast._internal.serving.tokens.budgets import Budgets
 from dykemast._internal.serving.state.loads import Loads
 from dykemast._internal.serving.state.monitoring import Metrics, make_metrics
-from dykemast._internal.serving.sending import send_checks, upstream
+from dykemast._internal.serving.sending import (
+    send_checks,
+    server_paths,
+    upstream,
+)
 from dykemast._internal.utils.clock import read_clock
 
 
@@ -26,6 +30,7 @@
     :param trust: health scores of backend servers.
     :param retries: retry budgets by service.
     :param upstreams: connections to backend servers.
+    :param paths: direct links to backend servers, and tunnels through peers.
     :param turns: shared rate limiter for servers with a rate limit.
     :param metrics: counters and histograms.
     """
@@ -36,6 +41,7 @@
     trust: ServerHealth
     retries: dict[str, RetryBudget]
     upstreams: upstream.Upstreams
+    paths: server_paths.ServerPaths
     turns: SharedRateLimiter
     metrics: Metrics
 
@@ -48,6 +54,7 @@
     :param loads: requests at backend servers.
     :returns: the components.
     """
+    paths = server_paths.ServerPaths(board)
     return Parts(
         board=board,
         budgets=budgets,
@@ -57,7 +64,9 @@
         upstreams=upstream.Upstreams(
             partial(send_checks.check_send, board),
             partial(record_backpressure, board),
+            paths,
         ),
+        paths=paths,
         turns=SharedRateLimiter(board.settings.name, read_clock()),
         metrics=make_metrics(),
     )
--- a/src/dykemast/_internal/serving/process/assembly.py
+++ b/src/dykemast/_internal/serving/process/assembly.py
@@ -7,11 +7,25 @@
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.tokens.budgets import Budgets
-from dykemast._internal.serving.state.loads import make_loads
+from dykemast._internal.serving.state.loads import Loads, make_loads
 from dykemast._internal.serving.tokens.upkeep import Upkeep
 from dykemast._internal.serving.parts import Parts, make_parts
-from dykemast._internal.serving.members.peer_links import PeerLinks, link_peers
-from dykemast._internal.serving.tokens.budget_parts import open_sources
+from dykemast._internal.serving.members.gossip import Gossip
+from dykemast._internal.serving.members.gossip_messages import GossipMessages
+from dykemast._internal.serving.tokens.ledger_writer import LedgerWriter
+from dykemast._internal.serving.tokens.token_search import TokenSearch
+from dykemast._internal.serving.tokens.token_source import TokenSource
+
+
+class PeerLinks(NamedTuple):
+    """Objects that connect a router with others.
+
+    :param messages: builds and applies gossip messages.
+    :param gossip: calls other routers.
+    """
+
+    messages: GossipMessages
+    gossip: Gossip
 
 
 class Assembly(NamedTuple):
@@ -36,7 +50,7 @@
     endpoint = board.settings.store
     store = ObjectStore(PlatformSession(f'http://{endpoint}'))
     loads = make_loads()
-    links = link_peers(board, loads)
+    links = _link_peers(board, loads)
     upkeep = _make_upkeep(board, store, links)
     return Assembly(make_parts(board, upkeep.budgets, loads), upkeep, links)
 
@@ -46,7 +60,15 @@
     store: ObjectStore,
     links: PeerLinks,
 ) -> Upkeep:
-    sources = open_sources(board, store, links.gossip)
+    writer = LedgerWriter(board, store)
+    source = TokenSource(board, writer, links.gossip)
+    search = TokenSearch(source, writer)
     identity = Identity(board.settings.name, board.incarnation)
-    budgets = Budgets(board, identity, sources.search)
-    return Upkeep(board, store, budgets, sources.writer, sources.search)
+    budgets = Budgets(board, identity, search)
+    return Upkeep(board, store, budgets, writer, search)
+
+
+def _link_peers(board: ServingBoard, loads: Loads) -> PeerLinks:
+    """Make the objects that connect routers; no connection is opened yet."""
+    messages = GossipMessages(board, loads)
+    return PeerLinks(messages, Gossip(board, messages))
--- a/src/dykemast/_internal/serving/process/description.py
+++ b/src/dykemast/_internal/serving/process/description.py
@@ -37,6 +37,9 @@
             for name in board.servers
         ),
         'servers_leaving': len(board.leaving),
+        'servers_without_link': len(board.links.broken_at),
+        'isolated': int(board.links.isolated),
+        'tunnels': board.tunnels,
         'loop_failures': board.loops.failures,
         'loops_failing': len(board.loops.list_failing(now)),
         'loop_late_s': round(board.watch.measure_lateness(now), 3),
--- a/src/dykemast/_internal/serving/process/entry.py
+++ b/src/dykemast/_internal/serving/process/entry.py
@@ -22,7 +22,7 @@
     ServingBoard,
     list_live_peers,
 )
-from dykemast._internal.serving.members.entry_ttl import compute_entry_ttl
+from dykemast._internal.serving.members.own_entry import compute_entry_ttl
 from dykemast._internal.serving.state.monitoring import render_metrics
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.process.description import describe_state
--- a/src/dykemast/_internal/serving/process/loops.py
+++ b/src/dykemast/_internal/serving/process/loops.py
@@ -13,6 +13,7 @@
     server_entries,
 )
 from dykemast._internal.serving.members import gossip, members
+from dykemast._internal.serving.sending.server_paths import watch_links
 from dykemast._internal.serving.tokens import budget_upkeep
 from dykemast._internal.serving.process.crash_loops import list_crash_loops
 from dykemast._internal.serving.process.assembly import Assembly
@@ -25,12 +26,16 @@
     PeriodicRead,
     read_periodically,
 )
-from dykemast._internal.serving.process.loop_failures import log_loop_failure
 from dykemast._internal.serving.process.reload import follow_settings
 from dykemast._internal.utils.events import LineHandler, make_logger
-from dykemast._internal.utils.supervision import BackgroundLoop, start_loops
+from dykemast._internal.utils.supervision import (
+    BackgroundLoop,
+    LoopFailure,
+    start_loops,
+)
 
 _log = make_logger('router')
+_log_loop = make_logger('loops')
 
 #: Age at which the configuration and the list of backend servers are read
 #: again. Noticing that takes 0.1 s, a silent connection 0.3 s and the response
@@ -60,6 +65,20 @@
     return start_loops(first, board.loops, log_loop_failure)
 
 
+def log_loop_failure(failure: LoopFailure) -> None:
+    """Log the failure of a background loop.
+
+    :param failure: the failure.
+    """
+    _log_loop(
+        'loop_failed',
+        loop=failure.loop,
+        reason=failure.reason,
+        calls=failure.calls,
+        pause_s=round(failure.pause, 2),
+    )
+
+
 def list_loops(assembly: Assembly) -> list[BackgroundLoop]:
     """List the loops of the program.
 
@@ -95,6 +114,9 @@
             'review_rows',
             partial(budget_upkeep.review_rows, assembly.upkeep),
         ),
+        BackgroundLoop(
+            'watch_links', partial(watch_links, assembly.parts.paths)
+        ),
         BackgroundLoop('watch_loop', partial(watch_clock, board)),
         BackgroundLoop('log_state', partial(_log_state, assembly)),
     ]
--- a/src/dykemast/_internal/serving/process/planned_stop.py
+++ b/src/dykemast/_internal/serving/process/planned_stop.py
@@ -14,7 +14,7 @@
 from dykemast._internal.serving.members import gossip, members
 from dykemast._internal.serving.tokens import budget_upkeep
 from dykemast._internal.serving.state.board import ServingBoard
-from dykemast._internal.serving.members.entry_ttl import compute_entry_ttl
+from dykemast._internal.serving.members.own_entry import compute_entry_ttl
 from dykemast._internal.serving.tokens.ledger_writer import AWAY_PAUSE
 from dykemast._internal.serving.process.runtime import Runtime
 from dykemast._internal.utils.clock import read_clock
@@ -40,7 +40,7 @@
     plan = _begin(board)
     unlisting = asyncio.create_task(_unlist(runtime))
     await wait_until(
-        lambda now: now > plan.linger_until and not board.inflight,
+        lambda now: now > plan.linger_until and not _is_busy(board),
         plan.return_tokens_at,
     )
     await _finish(runtime, plan)
@@ -85,7 +85,7 @@
     _log('admission_closed', inflight=waited_for)
     await asyncio.gather(
         _return_tokens(runtime, plan.cancel_at),
-        wait_until(lambda _: not board.inflight, plan.cancel_at),
+        wait_until(lambda _: not _is_busy(board), plan.cancel_at),
     )
     await in_progress.cancel_requests(board)
     if waited_for:
@@ -93,6 +93,11 @@
         await _return_tokens(runtime, read_clock() + LAST_RETURN_TIME_S)
 
 
+def _is_busy(board: ServingBoard) -> bool:
+    """Tell whether requests of callers, here or at peers, need this router."""
+    return bool(board.inflight or board.tunnels)
+
+
 async def _return_tokens(runtime: Runtime, until: float) -> None:
     """Return unused tokens, with retries until a point in time."""
     timeout_s = max(0, until - read_clock())
@@ -108,4 +113,6 @@
     for task in runtime.tasks:
         task.cancel()
     runtime.peer_server.close()
+    if runtime.tunnel_server:
+        runtime.tunnel_server.close()
     runtime.assembly.links.gossip.close()
--- a/src/dykemast/_internal/serving/relay/crash_probes.py
+++ b/src/dykemast/_internal/serving/relay/crash_probes.py
@@ -4,24 +4,15 @@
 Servers without requests reveal their crash only when probed.
 """
 
-import asyncio
-import contextlib
 import random
-from typing import Final
 
 from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.serving.choice.outcomes import record_absent
 from dykemast._internal.serving.knowledge.backends import list_usable
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.relay.crash_recording import record_server_crash
+from dykemast._internal.serving.sending.server_paths import ServerState
 from dykemast._internal.utils.clock import read_clock
-from dykemast._internal.utils.events import make_logger
-
-_log = make_logger('crashes')
-
-#: Connecting takes a few milliseconds, and the host of a crashed server refuses
-#: at once.
-PROBE_TIMEOUT_S: Final = 0.3
 
 
 async def probe_services(parts: Parts) -> None:
@@ -48,25 +39,14 @@
         record_server_crash(board, server.name, service)
 
 
-async def probe_server(parts: Parts, server: BackendServer) -> None:
-    """Open a connection to a server; a refusal shows that it crashed.
+async def probe_server(parts: Parts, server: BackendServer) -> ServerState:
+    """Check whether a server crashed: it refuses connections then.
 
     :param parts: shared components of the process; records an absent server.
     :param server: the server.
+    :returns: its state.
     """
-    # A timeout proves nothing: a network partition causes it too.
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            await _connect(parts, server)
-
-
-async def _connect(parts: Parts, server: BackendServer) -> None:
-    host, port = server.endpoint
-    try:
-        _, writer = await asyncio.open_connection(host, port)
-    except ConnectionRefusedError:
+    state = await parts.paths.probe(server)
+    if state is ServerState.absent:
         record_absent(parts, server)
-    except OSError as error:
-        _log('server_not_asked', server=server.name, reason=str(error))
-    else:
-        writer.close()
+    return state
--- a/src/dykemast/_internal/serving/relay/crash_watch.py
+++ b/src/dykemast/_internal/serving/relay/crash_watch.py
@@ -17,6 +17,7 @@
     probe_services,
 )
 from dykemast._internal.serving.relay.sends import Send
+from dykemast._internal.serving.sending.server_paths import ServerState
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.clock import read_clock
 
@@ -75,7 +76,10 @@
 async def _check_server(parts: Parts, name: str, broken_at: float) -> None:
     server = parts.board.servers.get(name)
     if server and read_clock() - broken_at < PROBE_WINDOW_S:
-        await probe_server(parts, server)
+        state = await probe_server(parts, server)
+        if state is ServerState.link_broken:
+            # The link broke these sends, not the server.
+            parts.board.broken.take_sends(name)
     if _has_ended(parts, name):
         record_server_crash(parts.board, name, server.service if server else '')
 
--- a/src/dykemast/_internal/serving/relay/payments.py
+++ b/src/dykemast/_internal/serving/relay/payments.py
@@ -7,7 +7,7 @@
     RefusedError,
 )
 from dykemast._internal.serving.requests.admitted_request import AdmittedRequest
-from dykemast._internal.serving.tokens.holds import Hold
+from dykemast._internal.serving.tokens.accounts import Hold
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('budgets')
--- /dev/null
+++ b/src/dykemast/_internal/serving/sending/direct_links.py
@@ -0,0 +1,70 @@
+"""Checks of the direct links to backend servers."""
+
+import asyncio
+import contextlib
+import random
+import socket
+from typing import Final
+
+from dykemast._internal.models.backend import BackendServer
+from dykemast._internal.network.sockets import make_socket
+from dykemast._internal.serving.state.board import ServingBoard
+
+#: Connecting takes a few milliseconds, and the host of a crashed server refuses
+#: at once.
+CHECK_TIMEOUT_S: Final = 0.2
+#: Time for which a new connection has to stay open: some broken links accept
+#: it, and reset it a round trip later.
+STAY_OPEN_S: Final = 0.05
+#: Number of other servers that are tried when one refuses connections.
+MAX_CHECKED: Final = 3
+
+
+async def check_link(server: BackendServer) -> None:
+    """Open a connection, and close it if it stays open.
+
+    :param server: the server.
+    :raises OSError: when the connection cannot be opened in time, or is closed
+        by the other end.
+    """
+    with make_socket((socket.AF_INET, socket.SOCK_STREAM, 0)) as sock:
+        await _connect(sock, server)
+        await check_open(sock)
+
+
+async def check_open(sock: socket.socket) -> None:
+    """Check that a connection stays open without a request.
+
+    :param sock: the connection.
+    :raises OSError: when the other end closes it.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(STAY_OPEN_S):
+            await loop.sock_recv(sock, 1)
+    except TimeoutError:
+        return
+    raise ConnectionError('closed without a request')
+
+
+async def has_other_link(board: ServingBoard, server: BackendServer) -> bool:
+    """Check whether this router can connect to another server.
+
+    :param board: the blackboard.
+    :param server: a server that refuses connections.
+    :returns: whether it can, so that the refusal is one of the server; True
+        also where there is no other server.
+    """
+    others = [one for one in board.servers.values() if one.name != server.name]
+    for other in random.sample(others, min(MAX_CHECKED, len(others))):
+        with make_socket((socket.AF_INET, socket.SOCK_STREAM, 0)) as sock:
+            with contextlib.suppress(OSError):
+                await _connect(sock, other)
+                return True
+    return not others
+
+
+async def _connect(sock: socket.socket, server: BackendServer) -> None:
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(CHECK_TIMEOUT_S):
+        await loop.sock_connect(sock, tuple(server.endpoint))
--- /dev/null
+++ b/src/dykemast/_internal/serving/sending/peer_tunnels.py
@@ -0,0 +1,150 @@
+"""Tunnels of this router to backend servers, through peers."""
+
+import asyncio
+import random
+import socket
+from collections.abc import Iterable, Mapping
+from http import HTTPStatus
+from typing import Final
+
+from dykemast._internal.exceptions import NoTunnelError, TunnelError
+from dykemast._internal.models import backend, deployment
+from dykemast._internal.network.tunnels import TunnelRequest, open_tunnel
+from dykemast._internal.serving.state.board import (
+    Peer,
+    ServingBoard,
+    list_live_peers,
+)
+from dykemast._internal.utils.clock import read_clock
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('links')
+
+#: Time for all peers together to open a tunnel, and for one of them, which
+#: waits for the server itself.
+TUNNEL_TIMEOUT_S: Final = 0.8
+PEER_TIMEOUT_S: Final = 0.4
+#: Peers asked for one tunnel. Each says at once if it has no link itself.
+MAX_PEERS_ASKED: Final = 5
+#: Time for which a peer that opened no tunnel is asked last.
+AVOIDED_S: Final = 1.0
+
+
+class PeerTunnels:
+    """Opens tunnels through peers.
+
+    :param board: the blackboard.
+    """
+
+    def __init__(self, board: ServingBoard) -> None:
+        """Start with all peers available."""
+        self._board = board
+        self._avoided_until: dict[str, float] = {}
+
+    def may_open(self, server: backend.BackendServer) -> bool:
+        """Check whether there is a peer that may open a tunnel.
+
+        :param server: the server.
+        :returns: whether there is.
+        """
+        return bool(_list_peers(self._board, server))
+
+    async def open(
+        self,
+        server: backend.BackendServer,
+        request_id: str = '',
+        time_left: float = TUNNEL_TIMEOUT_S,
+    ) -> socket.socket:
+        """Open a tunnel to a server.
+
+        :param server: the server.
+        :param request_id: id of the request that it is for.
+        :param time_left: seconds that it may take, if less than usual.
+        :returns: a socket whose other end is the server.
+        :raises ConnectionRefusedError: when the server refuses connections of
+            a peer.
+        :raises NoTunnelError: when no peer opened a tunnel.
+        """
+        request = TunnelRequest(server.endpoint, request_id)
+        try:
+            async with asyncio.timeout(min(time_left, TUNNEL_TIMEOUT_S)):
+                return await self._ask_peers(server, request)
+        except TimeoutError as error:
+            text = f'no tunnel to server {server.name} in time'
+            raise NoTunnelError(text) from error
+
+    async def _ask_peers(
+        self, server: backend.BackendServer, request: TunnelRequest
+    ) -> socket.socket:
+        peers = _order_peers(
+            _list_peers(self._board, server), self._avoided_until
+        )
+        for peer in peers[:MAX_PEERS_ASKED]:
+            opened = await self._ask(peer, request)
+            if opened:
+                return opened
+        raise NoTunnelError(f'no peer opened a tunnel to server {server.name}')
+
+    async def _ask(
+        self, peer: Peer, request: TunnelRequest
+    ) -> socket.socket | None:
+        details = {
+            'request': request.request_id,
+            'target': str(request.target),
+            'peer': peer.card.instance,
+        }
+        try:
+            async with asyncio.timeout(PEER_TIMEOUT_S):
+                opened = await open_tunnel(self._find_address(peer), request)
+        except (TunnelError, OSError) as error:
+            if getattr(error, 'status', 0) == HTTPStatus.BAD_GATEWAY:
+                raise ConnectionRefusedError(str(error)) from error
+            self._avoided_until[peer.card.instance] = read_clock() + AVOIDED_S
+            reason = f'{type(error).__name__}: {error}'
+            _log('tunnel_not_opened', **details, reason=reason)
+            return None
+        _log('tunnel_used', **details)
+        return opened
+
+    def _find_address(self, peer: Peer) -> deployment.Endpoint:
+        # All instances keep the same range of ports free.
+        listeners = self._board.settings.listeners
+        listener = listeners.tunnel or listeners.peer
+        return listener._replace(host=peer.card.host)
+
+
+def _list_peers(
+    board: ServingBoard, server: backend.BackendServer
+) -> list[Peer]:
+    """List the peers that may open a tunnel to a server."""
+    settings = board.settings
+    if settings.listeners.tunnel is None:
+        return []
+    # Prompts must not pass through a region that neither end is in.
+    halls = (settings.hall, server.hall)
+    regions = {settings.regions.get(hall) for hall in halls}
+    return [
+        peer
+        for peer in list_live_peers(board)
+        if not peer.card.leaving
+        and settings.regions.get(peer.card.hall) in regions
+    ]
+
+
+def _order_peers(
+    peers: Iterable[Peer], avoided_until: Mapping[str, float]
+) -> list[Peer]:
+    """Draw the order of peers; much spare capacity is likely first."""
+    now = read_clock()
+
+    def rank(peer: Peer) -> tuple[bool, bool, float]:
+        load = peer.router_load
+        # Exponential variates draw peers in proportion to their spare capacity.
+        spare = max(1, load.capacity - load.rate)
+        return (
+            avoided_until.get(peer.card.instance, now) > now,
+            load.exceeds_capacity(),
+            random.expovariate(spare),
+        )
+
+    return sorted(peers, key=rank)
--- a/src/dykemast/_internal/serving/state/board.py
+++ b/src/dykemast/_internal/serving/state/board.py
@@ -5,11 +5,9 @@
 from collections.abc import Iterator
 from typing import Final
 
+from dykemast._internal.models import deployment, fleet, routing_table
 from dykemast._internal.models.backend import BackendServer, Evacuations
-from dykemast._internal.models.deployment import InstanceSettings
-from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.models.gossip import ListState, RouterLoad
-from dykemast._internal.models.routing_table import RoutingTable
 from dykemast._internal.operations import (
     broken_sends,
     crash_table,
@@ -20,6 +18,7 @@
     route_times,
     backpressure_state,
 )
+from dykemast._internal.operations.server_links import ServerLinks
 from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.utils.clock import read_clock
 
@@ -32,6 +31,11 @@
 #: answer for 1.5 to 4.5 s, so they react within a few windows.
 ARRIVAL_WINDOW_S: Final = 2.0
 
+#: Peers from which on a fleet is large: beyond about 20, concurrent writes of
+#: one budget mostly conflict, and gossip with all peers takes most of a small
+#: instance's processor.
+LARGE_FLEET_ROUTERS: Final = 20
+
 
 @dataclasses.dataclass
 class Peer:
@@ -46,7 +50,7 @@
     :param budget_write_failed: whether its last write of a budget failed.
     """
 
-    card: PeerCard
+    card: fleet.PeerCard
     last_heard_at: float = 0
     last_exchange_at: float = 0
     router_load: RouterLoad = RouterLoad()
@@ -115,12 +119,14 @@
         ``serving.quarantines``.
     :param trials: digests of requests that run alone as a trial;
         ``serving.quarantine``.
+    :param links: links to backend servers; ``serving.server_paths``.
+    :param tunnels: open tunnels of other routers; ``serving.tunnel_targets``.
     """
 
-    settings: InstanceSettings
+    settings: deployment.InstanceSettings
     incarnation: str
     started_at: float = dataclasses.field(default_factory=read_clock)
-    table: RoutingTable | None = None
+    table: routing_table.RoutingTable | None = None
     table_changed: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
@@ -174,6 +180,8 @@
     )
     quarantined: set[str] = dataclasses.field(default_factory=set)
     trials: set[str] = dataclasses.field(default_factory=set)
+    links: ServerLinks = dataclasses.field(default_factory=ServerLinks)
+    tunnels: int = 0
 
     def get_version(self) -> int:
         """Get the version of the configuration in force.
@@ -182,13 +190,13 @@
         """
         return self.table.version if self.table else 0
 
-    def make_card(self) -> PeerCard:
+    def make_card(self) -> fleet.PeerCard:
         """Describe this router for its peers.
 
         :returns: its card.
         """
         listeners = self.settings.listeners
-        return PeerCard(
+        return fleet.PeerCard(
             instance=self.settings.name,
             incarnation=self.incarnation,
             hall=self.settings.hall,
@@ -233,3 +241,12 @@
     :returns: the live peers.
     """
     return (peer for peer in board.peers.values() if not is_silent(board, peer))
+
+
+def is_large_fleet(board: ServingBoard) -> bool:
+    """Tell whether the fleet is large.
+
+    :param board: the blackboard.
+    :returns: whether it is.
+    """
+    return len(board.peers) >= LARGE_FLEET_ROUTERS
--- a/src/dykemast/_internal/serving/tokens/accounts.py
+++ b/src/dykemast/_internal/serving/tokens/accounts.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import dataclasses
-from typing import Any, Final
+import math
+from typing import Any, Final, NamedTuple
 
 from dykemast._internal.models.budget_ledger import BudgetLedger
 from dykemast._internal.operations import ledger_rows, spare_size
@@ -15,7 +16,6 @@
 )
 from dykemast._internal.operations.demand import Demand
 from dykemast._internal.platform.store_types import StoreObject
-from dykemast._internal.serving.tokens.holds import NEVER, Shortage
 from dykemast._internal.serving.tokens.ledger_objects import (
     decode_ledger,
     encode_ledger,
@@ -28,6 +28,30 @@
 #: which bounds the calls per budget and router. Tokens become free when other
 #: routers end, or with a new configuration.
 EMPTY_RECHECK_S: Final = 1.0
+#: Earlier than any time of the monotonic clock.
+NEVER: Final = -math.inf
+
+
+class Hold(NamedTuple):
+    """Tokens reserved for one request.
+
+    :param workspace: workspace of the budget.
+    :param tokens: number of tokens.
+    """
+
+    workspace: str
+    tokens: int
+
+
+class Shortage(NamedTuple):
+    """A hold that was refused.
+
+    :param tokens: number of tokens requested.
+    :param until: time on the monotonic clock until which this is valid.
+    """
+
+    tokens: int = 0
+    until: float = NEVER
 
 
 @dataclasses.dataclass
--- a/src/dykemast/_internal/serving/tokens/budget_owners.py
+++ b/src/dykemast/_internal/serving/tokens/budget_owners.py
@@ -16,8 +16,8 @@
     Peer,
     ServingBoard,
     list_live_peers,
+    is_large_fleet,
 )
-from dykemast._internal.serving.state.fleet_size import is_large_fleet
 from dykemast._internal.utils.clock import read_clock
 
 #: Time after the start in which a router may not know its live peers yet.
--- a/src/dykemast/_internal/serving/tokens/budget_upkeep.py
+++ b/src/dykemast/_internal/serving/tokens/budget_upkeep.py
@@ -4,9 +4,9 @@
 from typing import Final
 
 from dykemast._internal.serving.tokens.accounts import Account
-from dykemast._internal.serving.tokens.holds import NEVER, Shortage
+from dykemast._internal.serving.tokens.accounts import NEVER, Shortage
 from dykemast._internal.serving.tokens.budget_owners import is_owner
-from dykemast._internal.serving.state.fleet_size import is_large_fleet
+from dykemast._internal.serving.state.board import is_large_fleet
 from dykemast._internal.serving.tokens.token_source import needs_loan
 from dykemast._internal.serving.tokens.upkeep import Upkeep, read_rows
 from dykemast._internal.utils.clock import read_clock
--- a/src/dykemast/_internal/serving/tokens/budgets.py
+++ b/src/dykemast/_internal/serving/tokens/budgets.py
@@ -10,10 +10,12 @@
     record_loan,
     take_hold,
 )
-from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.state.board import (
+    ServingBoard,
+    is_large_fleet,
+)
 from dykemast._internal.serving.tokens.budget_owners import is_owner
-from dykemast._internal.serving.state.fleet_size import is_large_fleet
-from dykemast._internal.serving.tokens.holds import Hold
+from dykemast._internal.serving.tokens.accounts import Hold
 from dykemast._internal.serving.tokens.token_search import TokenSearch
 from dykemast._internal.utils.clock import read_clock
 
--- a/src/dykemast/_internal/serving/tokens/token_search.py
+++ b/src/dykemast/_internal/serving/tokens/token_search.py
@@ -7,7 +7,7 @@
 
 from dykemast._internal.operations.retry_after import compute_retry_after
 from dykemast._internal.serving.tokens.accounts import Account, take_hold
-from dykemast._internal.serving.tokens.holds import Shortage
+from dykemast._internal.serving.tokens.accounts import Shortage
 from dykemast._internal.serving.tokens.ledger_writer import (
     LedgerWriter,
     describe_account,
--- a/src/dykemast/_internal/serving/tokens/token_source.py
+++ b/src/dykemast/_internal/serving/tokens/token_source.py
@@ -3,12 +3,15 @@
 from typing import Final
 
 from dykemast._internal.serving.tokens.accounts import Account
-from dykemast._internal.serving.state.board import ServingBoard, list_live_peers
+from dykemast._internal.serving.state.board import (
+    ServingBoard,
+    list_live_peers,
+    is_large_fleet,
+)
 from dykemast._internal.serving.tokens.budget_owners import (
     find_owner,
     is_owner,
 )
-from dykemast._internal.serving.state.fleet_size import is_large_fleet
 from dykemast._internal.serving.members.gossip import Gossip
 from dykemast._internal.serving.tokens.ledger_writer import LedgerWriter
 from dykemast._internal.serving.tokens.loans import (
--- a/src/dykemast/_internal/serving/tokens/upkeep.py
+++ b/src/dykemast/_internal/serving/tokens/upkeep.py
@@ -8,8 +8,10 @@
 )
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.serving.tokens.accounts import BUDGET_KIND
-from dykemast._internal.serving.state.fleet_size import is_large_fleet
-from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.state.board import (
+    ServingBoard,
+    is_large_fleet,
+)
 from dykemast._internal.serving.tokens.budgets import Budgets
 from dykemast._internal.serving.tokens.ledger_writer import LedgerWriter
 from dykemast._internal.serving.tokens.token_search import TokenSearch
--- a/tests/lib/serving_boards.py
+++ b/tests/lib/serving_boards.py
@@ -7,6 +7,7 @@
     InstanceSettings,
     Listeners,
 )
+from dykemast._internal.serving.sending.server_paths import ServerPaths
 from dykemast._internal.serving.state.board import Peer, ServingBoard
 from dykemast._internal.utils.clock import read_clock
 
@@ -44,3 +45,8 @@
             if other is not board
         }
     return boards
+
+
+def make_paths() -> ServerPaths:
+    """Make the paths to servers of a router without peers."""
+    return ServerPaths(make_board())
--- a/tests/unit/test_loans_ahead.py
+++ b/tests/unit/test_loans_ahead.py
@@ -6,7 +6,7 @@
 from dykemast._internal.operations.allowance_terms import Identity
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.tokens.accounts import Account
-from dykemast._internal.serving.tokens.holds import NEVER
+from dykemast._internal.serving.tokens.accounts import NEVER
 from dykemast._internal.serving.tokens.token_source import (
     LOAN_DEMAND_S,
     TokenSource,
--- a/tools/serving_mutations.py
+++ b/tools/serving_mutations.py
@@ -267,7 +267,7 @@
     Mutation(
         'stay ready though a listener has ended',
         'no loop ends silently',
-        f'{_INTERNAL}/network/listener_watch.py',
+        f'{_INTERNAL}/network/listeners.py',
         'if listener.serving.done() and not listener.should_exit:',
         'if listener.should_exit:',
         'test_listener_ends',
