Check any server while a router has no links

The checks that end the isolation of a router tried only servers whose links it had seen break. When all of these are replaced meanwhile none is left to try, and the router would send through peers for ever. Found by reading; the property test of broken links comes with it, the case itself has no test.

--- a/src/dykemast/_internal/serving/sending/server_paths.py
+++ b/src/dykemast/_internal/serving/sending/server_paths.py
@@ -150,8 +150,10 @@
 
 
 def _choose_servers(board: ServingBoard) -> list[BackendServer]:
-    broken = board.links.broken_at
-    servers = [board.servers[one] for one in broken if one in board.servers]
+    # A router without links has not tried all servers, and the ones that it
+    # tried may be gone.
+    names = board.servers if board.links.isolated else board.links.broken_at
+    servers = [board.servers[one] for one in names if one in board.servers]
     return random.sample(servers, min(MAX_LINKS_CHECKED, len(servers)))
 
 
