Send brittle servers no more than they have slots

Servers that say Server-Brittle crash when they reject more than some requests in a second. Callers saw them go one after the other: nothing read the field, and routers that do not hear of each other's requests in time sent a server far more than it runs.

Change: each router has a share of the slots of a brittle server, by rendezvous, so that all shares add up to the slots. Beyond it, it sends only while less than half of the slots are taken as far as peers report, and not for 3 s after a rejection. Servers with a free share go first.

--- a/src/dykemast/_internal/models/backend.py
+++ b/src/dykemast/_internal/models/backend.py
@@ -52,11 +52,14 @@
         together; None for no limit.
     :param leaving: whether it will stop soon and takes no new requests.
     :param rest: backoff in seconds that it requests from this router.
+    :param brittle: requests that it may reject in a second without crashing;
+        None if it is not brittle.
     """
 
     limit: float | None = None
     leaving: bool = False
     rest: float = 0
+    brittle: float | None = None
 
 
 class ServerLimit(NamedTuple):
--- a/src/dykemast/_internal/operations/backpressure_state.py
+++ b/src/dykemast/_internal/operations/backpressure_state.py
@@ -1,6 +1,7 @@
 """Backpressure of backend servers, as known by one router."""
 
 import dataclasses
+import math
 from collections.abc import Collection
 from typing import Final
 
@@ -10,6 +11,9 @@
 #: Time for which a leaving incarnation without an entry is remembered: entries
 #: return when the store does, and a leaving server may run on for long.
 DELISTED_TTL_S: Final = 300.0
+#: Time for which routers send no more than their share to a brittle server that
+#: rejected a request.
+REJECTION_MEMORY_S: Final = 3.0
 
 
 class DelistedServers:
@@ -58,6 +62,74 @@
                 self._known.pop(server_id)
 
 
+class BrittleServers:
+    """Servers that crash when they reject many requests in a second.
+
+    All servers of a service are brittle at the same time, so one that has not
+    responded yet is taken for brittle if another one is.
+    """
+
+    def __init__(self) -> None:
+        """Start without brittle servers."""
+        self._known: dict[str, tuple[str, bool]] = {}
+        self._services: set[str] = set()
+        self._rejected_at: dict[str, float] = {}
+
+    def record(self, server: BackendServer, *, brittle: bool) -> None:
+        """Record what a response of a server says.
+
+        :param server: the server.
+        :param brittle: whether it is brittle.
+        """
+        if brittle or server.name in self._known:
+            self._known[server.name] = (server.service, brittle)
+            self._update_services()
+
+    def record_rejection(self, server: str, now: float) -> None:
+        """Record that a server rejected a request.
+
+        :param server: name of its incarnation.
+        :param now: seconds on the monotonic clock.
+        """
+        self._rejected_at[server] = now
+
+    def is_brittle(self, server: BackendServer) -> bool:
+        """Check whether a server is brittle.
+
+        :param server: the server.
+        :returns: whether it is, as far as known.
+        """
+        if server.service not in self._services:
+            return False
+        _, brittle = self._known.get(server.name, (server.service, True))
+        return brittle
+
+    def has_rejected(self, server: str, now: float) -> bool:
+        """Check whether a server rejected a request recently.
+
+        :param server: name of its incarnation.
+        :param now: seconds on the monotonic clock.
+        :returns: whether it did.
+        """
+        rejected_at = self._rejected_at.get(server, -math.inf)
+        return now - rejected_at < REJECTION_MEMORY_S
+
+    def keep_only(self, servers: Collection[str]) -> None:
+        """Drop servers that are not listed any more.
+
+        :param servers: names of the listed incarnations.
+        """
+        for known in (self._known, self._rejected_at):
+            for gone in known.keys() - set(servers):
+                known.pop(gone)
+        self._update_services()
+
+    def _update_services(self) -> None:
+        self._services = {
+            service for service, brittle in self._known.values() if brittle
+        }
+
+
 @dataclasses.dataclass
 class BackpressureState:
     """Backpressure of servers, by name of their incarnation.
@@ -67,6 +139,7 @@
     :param backoff_until: seconds on the monotonic clock at which the backoff
         that a server requested from this router ends.
     :param delisted: leaving servers that are not listed any more.
+    :param brittle: servers that crash when they reject many requests.
     """
 
     last: dict[str, Backpressure] = dataclasses.field(default_factory=dict)
@@ -75,6 +148,7 @@
     delisted: DelistedServers = dataclasses.field(
         default_factory=DelistedServers
     )
+    brittle: BrittleServers = dataclasses.field(default_factory=BrittleServers)
 
     def may_be_restricted(self, server: str) -> bool:
         """Check whether a server may have a limit or a backoff.
@@ -112,6 +186,7 @@
         :param now: seconds on the monotonic clock.
         """
         self.limits.keep_only(servers, now)
+        self.brittle.keep_only(servers)
         self.delisted.expire(now)
         for server, until in tuple(self.backoff_until.items()):
             if until < now:
--- a/src/dykemast/_internal/operations/shared_rate_limiter.py
+++ b/src/dykemast/_internal/operations/shared_rate_limiter.py
@@ -66,6 +66,19 @@
     return RateSplit(count, WINDOW_S / (each or rate))
 
 
+class SlotShare(NamedTuple):
+    """Share of one router in the requests that a server runs at a time.
+
+    :param routers: names of all listed routers.
+    :param slots: requests that the server runs at a time.
+    :param share: requests that this router may send at a time.
+    """
+
+    routers: frozenset[str]
+    slots: int
+    share: int
+
+
 class SharedRateLimiter:
     """Share of one router in the rate limits of servers.
 
@@ -79,6 +92,7 @@
         self._started_at = started_at
         self._shares: dict[str, Share] = {}
         self._sent_at: dict[str, float] = {}
+        self._slot_shares: dict[str, SlotShare] = {}
 
     def compute_wait(
         self,
@@ -105,6 +119,26 @@
         probe_at = answered_at + share.standby_rank * SILENCE_S
         return math.inf if share.standby_rank > 0 and now < probe_at else wait
 
+    def count_share(
+        self, server: str, routers: frozenset[str], slots: int
+    ) -> int:
+        """Count the requests that this router may send to a server at a time.
+
+        :param server: name of its incarnation.
+        :param routers: names of all listed routers.
+        :param slots: requests that the server runs at a time.
+        :returns: its share; the shares of all routers add up to the slots.
+        """
+        known = self._slot_shares.get(server)
+        if known is None or (known.routers, known.slots) != (routers, slots):
+            rank = rank_owners(server, routers).index(self._own)
+            # The remainder goes to the first in rank.
+            remainder = slots % len(routers)
+            share = slots // len(routers) + int(rank < remainder)
+            known = SlotShare(routers, slots, share)
+            self._slot_shares[server] = known
+        return known.share
+
     def record_sent(self, server: str, now: float) -> None:
         """Record that this router sends a request.
 
@@ -119,7 +153,7 @@
         :param servers: names of the listed incarnations.
         """
         kept = set(servers)
-        for known in (self._shares, self._sent_at):
+        for known in (self._shares, self._sent_at, self._slot_shares):
             for gone in known.keys() - kept:
                 known.pop(gone)
 
--- a/src/dykemast/_internal/platform/answer_headers.py
+++ b/src/dykemast/_internal/platform/answer_headers.py
@@ -60,6 +60,7 @@
         limit=None if limit is None else max(MIN_LIMIT_PER_S, limit),
         leaving=fields.get(names.LEAVING, '').strip() == _LEAVING_VALUE,
         rest=min(MAX_BACKOFF_S, rest or 0),
+        brittle=_parse_number(fields.get(names.BRITTLE)),
     )
 
 
--- a/src/dykemast/_internal/platform/names.py
+++ b/src/dykemast/_internal/platform/names.py
@@ -37,6 +37,7 @@
 LIMIT: Final = 'server-limit'
 #: ``1``: the backend server is about to shut down.
 LEAVING: Final = 'server-leaving'
+BRITTLE: Final = 'server-brittle'
 #: Seconds, possibly fractional; in a 503 response of a backend server the
 #: backoff that it requests from this router.
 RETRY_AFTER: Final = 'retry-after'
--- a/src/dykemast/_internal/serving/choice/candidates.py
+++ b/src/dykemast/_internal/serving/choice/candidates.py
@@ -44,7 +44,13 @@
     :param servers: servers of its service.
     :returns: servers without backoff whose rate limits allow a request.
     """
-    return [one for one in servers if not compute_wait(parts, admitted, one)]
+    available = [
+        one for one in servers if not compute_wait(parts, admitted, one)
+    ]
+    shared = (parts.board, parts.turns, parts.loads)
+    return [
+        one for one in available if send_checks.has_share(*shared, one)
+    ] or available
 
 
 def choose_isolated(
@@ -74,9 +80,14 @@
     :param server: a server of its service.
     :returns: seconds; infinite while only other routers may send.
     """
-    return send_checks.compute_wait(
+    wait = send_checks.compute_wait(
         parts.board, parts.turns, server, admitted.service.cold_rate
     )
+    shared = (parts.board, parts.turns, parts.loads)
+    if send_checks.has_share(*shared, server):
+        return wait
+    slot_wait = send_checks.compute_slot_wait(parts.board, server, parts.loads)
+    return max(wait, slot_wait)
 
 
 def compute_min_wait(
--- a/src/dykemast/_internal/serving/knowledge/backpressure.py
+++ b/src/dykemast/_internal/serving/knowledge/backpressure.py
@@ -16,6 +16,8 @@
 
 #: Bounds the length of a log line.
 MAX_DESCRIBED_SERVERS: Final = 8
+#: Pause after a brittle server rejected a request.
+REJECTED_PAUSE_S: Final = 0.3
 
 
 def record_backpressure(
@@ -42,6 +44,7 @@
         # come from a front end of the server that does not know the limit.
         rate = head.backpressure.limit or NO_LIMIT
         board.backpressure.limits.record(server.name, rate, read_clock())
+    _record_brittle(board, server, head)
     _log_change(board, server, head)
 
 
@@ -88,6 +91,20 @@
         )
 
 
+def _record_brittle(
+    board: ServingBoard, server: BackendServer, head: ResponseHead
+) -> None:
+    brittle = board.backpressure.brittle
+    is_brittle = head.backpressure.brittle is not None
+    if is_brittle or head.signed:
+        # As with a limit, only the answer to a request that ran lifts it.
+        brittle.record(server, brittle=is_brittle)
+    if is_brittle and head.not_executed:
+        now = read_clock()
+        brittle.record_rejection(server.name, now)
+        board.backpressure.record_backoff(server.name, now + REJECTED_PAUSE_S)
+
+
 def _record_leaving(board: ServingBoard, server: BackendServer) -> None:
     if server.server_id in board.server_starts:
         mark_leaving(board, [server.name], 'answer')
--- a/src/dykemast/_internal/serving/sending/send_checks.py
+++ b/src/dykemast/_internal/serving/sending/send_checks.py
@@ -1,6 +1,7 @@
 """Checks whether a server may get a request, by its backpressure."""
 
 import math
+from typing import Final
 
 from dykemast._internal.exceptions import BackpressureError
 from dykemast._internal.models.backend import BackendServer
@@ -9,8 +10,14 @@
 from dykemast._internal.serving.knowledge.cold_servers import is_cold
 from dykemast._internal.serving.sending.upstream_request import UpstreamRequest
 from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.serving.state.loads import Loads, compute_load
 from dykemast._internal.utils.clock import read_clock
 
+#: Part of a brittle server's slots up to which a router may exceed its share.
+FREE_SHARE: Final = 0.5
+#: Pause between two looks for a free slot of a brittle server.
+SLOT_WAIT_S: Final = 0.05
+
 
 def compute_wait(
     board: ServingBoard,
@@ -49,6 +56,49 @@
     )
 
 
+def has_share(
+    board: ServingBoard,
+    limiter: SharedRateLimiter,
+    loads: Loads,
+    server: BackendServer,
+) -> bool:
+    """Check whether this router's share of a server's slots has a free one.
+
+    :param board: the blackboard.
+    :param limiter: knows the share of this router.
+    :param loads: requests at servers.
+    :param server: the server.
+    :returns: whether it has; True for a server that is not brittle.
+    """
+    if not board.backpressure.brittle.is_brittle(server):
+        return True
+    routers = frozenset((board.settings.name, *board.peers))
+    share = limiter.count_share(server.name, routers, server.slots)
+    return loads.own.get_load(server.name).running < share
+
+
+def compute_slot_wait(
+    board: ServingBoard,
+    server: BackendServer,
+    loads: Loads,
+) -> float:
+    """Compute the time until a brittle server may have a slot beyond the share.
+
+    Peers report their requests some time later, so most slots have to be free.
+
+    :param board: the blackboard.
+    :param server: the server.
+    :param loads: requests at servers.
+    :returns: seconds; 0 if it may get a request.
+    """
+    now = read_clock()
+    running = compute_load(loads, server.name, now).running
+    if running < FREE_SHARE * server.slots:
+        if not board.backpressure.brittle.has_rejected(server.name, now):
+            return 0
+    return SLOT_WAIT_S
+
+
 def check_send(
     board: ServingBoard,
     outgoing: UpstreamRequest,
--- /dev/null
+++ b/tests/functional/test_brittle_servers.py
@@ -0,0 +1,82 @@
+"""Servers that crash when they reject many requests get no more than fit."""
+
+from collections.abc import Iterable
+
+from tests.lib.crowd import (
+    Asked,
+    ask_all,
+    ask_stream,
+    check_refusals,
+    start_with_large_budget,
+)
+from tests.lib.deployment import Deployment
+
+#: Requests that a server runs at a time, as its entry says, and that it may
+#: reject in a second.
+PLACES = 6
+MAX_REJECTED = 4
+#: Time from the first response that says so until it applies, and for which
+#: callers send requests then.
+IN_FORCE_S = 3.0
+REQUESTS_S = 4.0
+#: Part of what the servers can run that has to be served.
+MIN_SERVED_SHARE = 0.7
+EVENT_S = 0.02
+EVENTS = 20
+
+
+def make_brittle(deployment: Deployment, servers: Iterable[str]) -> None:
+    fields = {'server-brittle': str(MAX_REJECTED)}
+    for server in servers:
+        deployment.control(server, fields=fields, pause=EVENT_S)
+
+
+def ask_brittle(deployment: Deployment, servers: list[str]) -> list[Asked]:
+    """Send requests; check that the servers reject few in each second."""
+    ask_all(deployment, ask_stream, IN_FORCE_S)
+    for server in servers:
+        deployment.control(server, places=PLACES)
+    asked = ask_all(deployment, ask_stream, REQUESTS_S)
+    for server in servers:
+        times = deployment.control(server)['rejected']
+        most = max(
+            (sum(begin <= at < begin + 1 for at in times) for begin in times),
+            default=0,
+        )
+        assert most <= MAX_REJECTED, (server, most, len(times))
+    return asked
+
+
+def check_served(asked: list[Asked], servers: list[str]) -> None:
+    served = sum(one.reply.status == 200 for one in asked)
+    rate = len(servers) * PLACES / (EVENTS * EVENT_S)
+    assert served >= MIN_SERVED_SHARE * rate * REQUESTS_S, served
+
+
+def test_brittle_servers_reject_few_requests_of_an_overload() -> None:
+    deployment = start_with_large_budget(3, 1)
+    make_brittle(deployment, ['engine-0'])
+    asked = ask_brittle(deployment, ['engine-0'])
+    check_served(asked, ['engine-0'])
+    check_refusals(asked)
+    deployment.stop()
+
+
+def test_brittle_servers_with_room_serve_all() -> None:
+    servers = ['engine-0', 'engine-1', 'engine-2', 'engine-3']
+    deployment = start_with_large_budget(3, len(servers))
+    make_brittle(deployment, servers)
+    asked = ask_brittle(deployment, servers)
+    assert {one.reply.status for one in asked} == {200}
+    deployment.stop()
+
+
+def test_servers_no_longer_brittle_get_more_than_their_places() -> None:
+    deployment = start_with_large_budget(3, 1)
+    make_brittle(deployment, ['engine-0'])
+    ask_all(deployment, ask_stream, 1)
+    deployment.control('engine-0', fields={})
+    ask_all(deployment, ask_stream, 1)
+    asked = ask_all(deployment, ask_stream, 1)
+    assert {one.reply.status for one in asked} == {200}
+    deployment.stop()
--- a/tests/lib/backend_server.py
+++ b/tests/lib/backend_server.py
@@ -7,10 +7,12 @@
 (truncates the response), ``part`` (ends in the middle of an event), ``mute``
 (no response), ``unsigned``, ``other`` (responds for another request) or
 ``misdirected``; ``pause`` (seconds between events), ``delay`` (seconds that a
-plain call takes) and ``fields`` (header fields of all responses). A request
+plain call takes), ``fields`` (header fields of all responses) and ``places``
+(requests that run at a time; more are rejected, 0 for no limit). A request
 whose body begins with ``crash`` ends the process when its run begins.
-``/control`` returns the runs, the received header fields and the arrivals,
-with times of the monotonic clock that all processes of a machine share.
+``/control`` returns the runs, the received header fields, the arrivals and the
+times of rejections, by the monotonic clock that all processes of a machine
+share.
 """
 
 import asyncio
@@ -39,9 +41,11 @@
     'pause': EVENT_INTERVAL_S,
     'delay': 0,
     'fields': {},
+    'places': 0,
 }
 runs: list[dict[str, Any]] = []
 arrivals: list[tuple[str, float]] = []
+rejected: list[float] = []
 
 
 class BreakError(Exception):
@@ -69,9 +73,16 @@
         return Response('', 421, head)
     if fault == 'shed':
         return Response('', 503, {**head, 'x-not-executed': '1'})
+    if state['places'] and _count_running() >= state['places']:
+        rejected.append(time.monotonic())
+        return Response('', 503, {**head, 'x-not-executed': '1'})
     return await _run(request, head)
 
 
+def _count_running() -> int:
+    return sum(not run['ended'] for run in runs)
+
+
 async def _run(request: Request, head: dict[str, str]) -> Response:
     body = await request.body()
     run = _record_run(request, body)
@@ -144,7 +155,9 @@
 
 async def control(request: Request) -> Response:
     state.update(await request.json())
-    return JSONResponse({'runs': runs, 'arrivals': arrivals})
+    return JSONResponse(
+        {'runs': runs, 'arrivals': arrivals, 'rejected': rejected}
+    )
 
 
 app = Starlette(
