Keep links by service, and believe refusals of their own service only

Cause: a router that was refused by a server asked whether *any* other server accepts it, and those of the service that was not cut did; and a connection to them ended the isolation from the other service each time. That a refusal of one peer is believed was right, its check was not.

Links are kept by service; only servers of the same service show that a refusal is one of the server, and a router with a newly broken link there vouches for none. A router without links to one service probes the others at once.

--- a/src/dykemast/_internal/operations/server_links.py
+++ b/src/dykemast/_internal/operations/server_links.py
@@ -1,86 +1,110 @@
 """Links of this router to backend servers.
 
 A server that this router cannot connect to, but a peer can, is up: the link to
-it is broken. If that holds for several servers, and for none the opposite, this
-router is likely partitioned from all of them.
+it is broken. If that holds for several servers of a service, and for none the
+opposite, this router is likely partitioned from all of them.
 """
 
 import asyncio
+import math
 from collections.abc import Collection
-from typing import Final
+from typing import Final, NamedTuple
 
-#: Servers with a broken link from which on this router counts as isolated.
+from dykemast._internal.models.backend import BackendServer
+
+#: Servers of a service with a broken link from which on this router counts as
+#: isolated from the service.
 MIN_BROKEN_LINKS: Final = 2
 
 
+class BrokenLink(NamedTuple):
+    """A broken link.
+
+    :param service: service of the server.
+    :param at: seconds on the monotonic clock at which it broke.
+    """
+
+    service: str
+    at: float
+
+
 class ServerLinks:
-    """Broken links of this router, by name of the server's incarnation."""
+    """Broken links of this router."""
 
     def __init__(self) -> None:
         """Start with all links intact."""
-        #: Times at which links broke, by server.
-        self.broken_at: dict[str, float] = {}
-        #: Time of the last direct connection to any server.
-        self.connected_at = float('-inf')
-        #: Time since which this router is isolated; None if it is not.
-        self.isolated_since: float | None = None
+        #: Broken links by name of the server's incarnation.
+        self.broken: dict[str, BrokenLink] = {}
+        #: Times since which this router is isolated from a service.
+        self.isolated_since: dict[str, float] = {}
         #: Set while there are broken links.
         self.pending = asyncio.Event()
+        self._connected_at: dict[str, float] = {}
 
-    @property
-    def isolated(self) -> bool:
-        """Whether this router likely has no link to any server."""
-        return self.isolated_since is not None
-
-    def record_broken(self, server: str, now: float, listed: int) -> bool:
+    def record_broken(
+        self, server: BackendServer, now: float, listed: int
+    ) -> bool:
         """Record that only a peer could connect to a server.
 
         :param server: the server.
         :param now: seconds on the monotonic clock.
-        :param listed: number of listed servers.
-        :returns: whether this router is isolated since now.
+        :param listed: number of listed servers of its service.
+        :returns: whether this router is isolated from the service since now.
         """
-        self.broken_at[server] = now
+        service = server.service
+        self.broken[server.name] = BrokenLink(service, now)
         self.pending.set()
-        if self.isolated or self.count_recent() < min(MIN_BROKEN_LINKS, listed):
+        if service in self.isolated_since:
+            return False
+        # A router that has no link to one service likely has none at all.
+        needed = 1 if self.isolated_since else min(MIN_BROKEN_LINKS, listed)
+        if self.count_recent(service) < needed:
             return False
-        self.isolated_since = now
+        self.isolated_since[service] = now
         return True
 
-    def record_connected(self, server: str, now: float) -> bool:
+    def record_connected(
+        self, server: BackendServer, now: float
+    ) -> float | None:
         """Record a direct connection to a server.
 
         :param server: the server.
         :param now: seconds on the monotonic clock.
-        :returns: whether this router was isolated until now.
+        :returns: time since which this router was isolated from its service
+            until now; None if it was not.
         """
-        was_isolated = self.isolated
-        self.broken_at.pop(server, None)
-        self.connected_at = now
-        self.isolated_since = None
-        return was_isolated
+        self.broken.pop(server.name, None)
+        self._connected_at[server.service] = now
+        return self.isolated_since.pop(server.service, None)
 
-    def is_broken(self, server: str) -> bool:
+    def is_broken(self, server: BackendServer) -> bool:
         """Check whether the link to a server is likely broken.
 
         :param server: the server.
         :returns: whether requests should not use it.
         """
-        return self.isolated or server in self.broken_at
+        return server.service in self.isolated_since or (
+            server.name in self.broken
+        )
+
+    def count_recent(self, service: str) -> int:
+        """Count the links that broke after the last direct connection.
+
+        :param service: service of the servers.
+        :returns: their number.
+        """
+        connected_at = self._connected_at.get(service, -math.inf)
+        return sum(
+            link.service == service and link.at > connected_at
+            for link in self.broken.values()
+        )
 
     def prune(self, servers: Collection[str]) -> None:
         """Drop the broken links to servers that are not listed any more.
 
         :param servers: names of the listed servers.
         """
-        for gone in self.broken_at.keys() - set(servers):
-            self.broken_at.pop(gone)
-        if not self.broken_at and not self.isolated:
+        for gone in self.broken.keys() - set(servers):
+            self.broken.pop(gone)
+        if not self.broken and not self.isolated_since:
             self.pending.clear()
-
-    def count_recent(self) -> int:
-        """Count the links that broke after the last direct connection.
-
-        :returns: their number.
-        """
-        return sum(at > self.connected_at for at in self.broken_at.values())
--- a/src/dykemast/_internal/serving/members/load_measurement.py
+++ b/src/dykemast/_internal/serving/members/load_measurement.py
@@ -31,7 +31,7 @@
     now = read_clock()
     carried = USABLE_SHARE * max_rate
     rate = board.arrivals.compute_rate(now)
-    if board.watch.is_overloaded(now) or board.links.isolated:
+    if board.watch.is_overloaded(now) or board.links.isolated_since:
         # Requests that are not read yet are not counted, and the estimated
         # work of a request is too low for the current ones. Without links to
         # the servers, each request takes capacity of a peer as well.
--- a/src/dykemast/_internal/serving/process/description.py
+++ b/src/dykemast/_internal/serving/process/description.py
@@ -37,8 +37,8 @@
             for name in board.servers
         ),
         'servers_leaving': len(board.leaving),
-        'servers_without_link': len(board.links.broken_at),
-        'isolated': int(board.links.isolated),
+        'servers_without_link': len(board.links.broken),
+        'services_without_link': len(board.links.isolated_since),
         'tunnels': board.tunnels,
         'loop_failures': board.loops.failures,
         'loops_failing': len(board.loops.list_failing(now)),
--- a/src/dykemast/_internal/serving/sending/server_paths.py
+++ b/src/dykemast/_internal/serving/sending/server_paths.py
@@ -54,7 +54,7 @@
         :param server: the server.
         :returns: whether its direct link is likely broken.
         """
-        return self.board.links.is_broken(server.name)
+        return self.board.links.is_broken(server)
 
     def record_connected(self, server: BackendServer) -> None:
         """Record a response over a new direct connection.
@@ -62,10 +62,14 @@
         :param server: the server.
         """
         now = read_clock()
-        links = self.board.links
-        since = links.isolated_since
-        if links.record_connected(server.name, now) and since is not None:
-            _log('links_back', server=server.name, lost_s=round(now - since, 3))
+        since = self.board.links.record_connected(server, now)
+        if since is not None:
+            _log(
+                'links_back',
+                service=server.service,
+                server=server.name,
+                lost_s=round(now - since, 3),
+            )
 
     def record_broken(self, server: BackendServer) -> None:
         """Record that only a peer could connect to a server.
@@ -73,11 +77,17 @@
         :param server: the server.
         """
         links = self.board.links
-        if not links.is_broken(server.name):
+        if not links.is_broken(server):
             _log('link_broken', server=server.name)
-        listed = len(self.board.servers)
-        if links.record_broken(server.name, read_clock(), listed):
-            _log('links_lost', servers=list(links.broken_at))
+        listed = sum(
+            one.service == server.service for one in self.board.servers.values()
+        )
+        if links.record_broken(server, read_clock(), listed):
+            _log(
+                'links_lost',
+                service=server.service,
+                servers=list(links.broken),
+            )
 
     def record_reset(self, server: BackendServer) -> None:
         """Record that a new direct connection broke before its response.
@@ -87,7 +97,7 @@
 
         :param server: the server.
         """
-        if self.board.links.count_recent():
+        if self.board.links.broken:
             self.record_broken(server)
 
     async def confirm_refusal(self, server: BackendServer) -> bool:
@@ -145,18 +155,39 @@
         await board.links.pending.wait()
         await asyncio.sleep(CHECK_INTERVAL_S)
         checks = [_check(paths, server) for server in _choose_servers(board)]
-        await asyncio.gather(*checks)
+        probes = [paths.probe(server) for server in _choose_others(board)]
+        await asyncio.gather(*checks, *probes)
         board.links.prune(board.servers)
 
 
 def _choose_servers(board: ServingBoard) -> list[BackendServer]:
-    # A router without links has not tried all servers, and the ones that it
-    # tried may be gone.
-    names = board.servers if board.links.isolated else board.links.broken_at
-    servers = [board.servers[one] for one in names if one in board.servers]
+    # Of a service without links not all servers were tried, and those that
+    # were may be gone.
+    servers = [
+        server
+        for server in board.servers.values()
+        if board.links.is_broken(server)
+    ]
     return random.sample(servers, min(MAX_LINKS_CHECKED, len(servers)))
 
 
+def _choose_others(board: ServingBoard) -> list[BackendServer]:
+    """Choose a server of each service that may be out of reach as well."""
+    if not board.links.isolated_since:
+        return []
+    by_service = {
+        server.service: server
+        for server in random.sample(
+            list(board.servers.values()), len(board.servers)
+        )
+    }
+    return [
+        server
+        for service, server in by_service.items()
+        if service not in board.links.isolated_since
+    ]
+
+
 async def _check(paths: ServerPaths, server: BackendServer) -> None:
     with contextlib.suppress(OSError):
         await direct_links.check_link(server)
--- a/src/dykemast/_internal/serving/sending/tunnel_targets.py
+++ b/src/dykemast/_internal/serving/sending/tunnel_targets.py
@@ -71,7 +71,7 @@
     if server is None:
         text = f'no server is listed at {request.target}'
         raise TunnelError(text, HTTPStatus.FORBIDDEN)
-    if not _may_open(board) or board.links.is_broken(server.name):
+    if not _may_open(board) or board.links.is_broken(server):
         raise TunnelError('no tunnels now', HTTPStatus.SERVICE_UNAVAILABLE)
     return server
 
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -17,6 +17,8 @@
 
 #: All servers send a limit while routers are killed and stopped.
 ASK_SEED = 4_000_005
+#: Routers without links to servers, beside other faults.
+PARTITION_SEED = 5_000_001
 
 
 def read_seeds() -> list[int]:
@@ -62,6 +64,10 @@
     check_seed(ASK_SEED)
 
 
+def test_a_seed_with_routers_without_links_keeps_the_promises() -> None:
+    check_seed(PARTITION_SEED)
+
+
 def test_a_seed_with_one_server_quarantines_no_other_request() -> None:
     # Fails if stored crash records quarantine the two slow requests that are
     # always in progress beside the crashing one: service does not recover, and
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -6,6 +6,7 @@
 from tests.soak.asks import draw_asks
 from tests.soak.faults import Fault
 from tests.soak.halls import draw_halls
+from tests.soak.partitions import draw_partitions
 from tests.soak.proxy import MODES
 from tests.soak.series import draw_series
 from tests.soak.sizes import SMALL, Size
@@ -24,7 +25,9 @@
 FIRST_WITH_HALLS = 3_000_000
 #: Plans from this one on have servers that ask for something in their answers.
 FIRST_WITH_ASKS = 4_000_000
-LAST_SEED = 5_000_000
+#: Plans from this one on have routers that lose their links to all servers.
+FIRST_WITH_PARTITIONS = 5_000_000
+LAST_SEED = 6_000_000
 SERVERS = ('engine-0', 'engine-1', 'plain-0')
 STORE_FAULTS = ('away', 'silent', 'lose', 'deaf')
 CHANGES = ('raise', 'lower', 'routes')
@@ -36,12 +39,8 @@
     chance = random.Random(seed)
     if seed < FIRST_WITH_SERIES:
         return sorted(_draw_faults(chance, size, chance.randint(4, 9)))
-    if seed >= FIRST_WITH_ASKS:
-        return sorted(draw_asks(chance, FAULT_TIME))
-    if seed >= FIRST_WITH_HALLS:
-        return sorted(draw_halls(chance, FAULT_TIME))
     if seed >= FIRST_WITH_CRASHES:
-        return sorted(_draw_crashes(chance, size))
+        return sorted(_draw_special(chance, seed, size))
     faults = _draw_faults(chance, size, chance.randint(0, 4))
     for _ in range(chance.randint(1, 2)):
         faults.extend(draw_series(chance, size))
@@ -50,6 +49,17 @@
     return sorted(faults)
 
 
+def _draw_special(chance: random.Random, seed: int, size: Size) -> list[Fault]:
+    """Draw a plan of one of the later kinds."""
+    if seed >= FIRST_WITH_PARTITIONS:
+        return draw_partitions(chance, size, FAULT_TIME)
+    if seed >= FIRST_WITH_ASKS:
+        return draw_asks(chance, FAULT_TIME)
+    if seed >= FIRST_WITH_HALLS:
+        return draw_halls(chance, FAULT_TIME)
+    return _draw_crashes(chance, size)
+
+
 def _draw_crashes(chance: random.Random, size: Size) -> list[Fault]:
     """Draw when a request ends servers, and which machines then sleep."""
     faults = [Fault(chance.uniform(0.5, 1.5), 'crash', 'routers', '', 11)]
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -9,6 +9,7 @@
 from tests.soak.crashes import find_crash_storms
 from tests.soak.halls import find_cold_crowds, find_sent_to_emptied
 from tests.soak.losses import find_idle_work, find_losses
+from tests.soak.partitions import find_cut_off
 from tests.soak.returns import find_absence, find_late_sends, find_storms
 from tests.soak.seen import WHOLE, Seen, Witness
 from tests.soak.spending import count_spent, list_runs
@@ -98,4 +99,5 @@
     find_sent_to_emptied,
     find_cold_crowds,
     find_unheeded,
+    find_cut_off,
 )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,13 +3,14 @@
 import time
 from typing import NamedTuple
 
-from tests.soak import callers, halls
+from tests.soak import callers, halls, partitions
 from tests.soak.faults import Fault
 from tests.soak.plan import (
     FAULT_TIME,
     FIRST_WITH_ASKS,
     FIRST_WITH_CRASHES,
     FIRST_WITH_HALLS,
+    FIRST_WITH_PARTITIONS,
     FIRST_WITH_SERIES,
     make_plan,
 )
@@ -48,6 +49,8 @@
     elif FIRST_WITH_CRASHES <= seed < FIRST_WITH_HALLS:
         # A process that stands still is then a machine that is suspended.
         world.deployment.router_module = 'tests.lib.suspended_router'
+    elif seed >= FIRST_WITH_PARTITIONS:
+        partitions.prepare(world.deployment)
     world.start()
     witness = _watch(
         world, plan, callers.Callers(world.deployment, seed, size.callers)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,7 +12,7 @@
     make_next_start,
     make_route,
 )
-from tests.soak import asks, crashes, halls
+from tests.soak import asks, crashes, halls, partitions
 from tests.soak.faults import Fault
 from tests.soak.history import ROUTE_ADDED, End, History
 from tests.soak.links import Links
@@ -144,6 +144,15 @@
         self._links.switch(name, '')
         end()
 
+    def _partition(self, fault: Fault) -> None:
+        end = self.history.begin('partition', fault.target)
+        partitions.set_links(self.deployment, fault.target, fault.how)
+        self._later(fault.lasts, self._mend_links, fault.target, end)
+
+    def _mend_links(self, router: str, end: End) -> None:
+        partitions.set_links(self.deployment, router)
+        end()
+
     def _server(self, fault: Fault) -> None:
         end = self.history.begin('server', fault.target)
         self.deployment.control(fault.target, fault=fault.how)
