Ask several peers before a server counts as absent

With links kept by service, a router vouched for a refusal only by a server of the same service. Two tests failed (test_crashing_requests, a loss of all servers): when all servers of a service crash none of them could vouch, only the first crash was told, and the request that ran there was blamed. A first change, to leave out servers that are known to have crashed, did not help (the same two failed).

--- a/src/dykemast/_internal/serving/sending/direct_links.py
+++ b/src/dykemast/_internal/serving/sending/direct_links.py
@@ -48,7 +48,7 @@
 
 
 async def has_other_link(board: ServingBoard, server: BackendServer) -> bool:
-    """Check whether this router can connect to another server of a service.
+    """Check whether this router can connect to another server.
 
     :param board: the blackboard.
     :param server: a server that refuses connections.
@@ -58,13 +58,12 @@
     if board.links.count_recent(server.service):
         return False
     others = [one for one in board.servers.values() if one.name != server.name]
-    alike = [one for one in others if one.service == server.service] or others
-    for other in random.sample(alike, min(MAX_CHECKED, len(alike))):
+    for other in random.sample(others, min(MAX_CHECKED, len(others))):
         with make_socket((socket.AF_INET, socket.SOCK_STREAM, 0)) as sock:
             with contextlib.suppress(OSError):
                 await _connect(sock, other)
                 return True
-    return not alike
+    return not others
 
 
 async def _connect(sock: socket.socket, server: BackendServer) -> None:
--- a/src/dykemast/_internal/serving/sending/peer_tunnels.py
+++ b/src/dykemast/_internal/serving/sending/peer_tunnels.py
@@ -61,8 +61,8 @@
         :param request_id: id of the request that it is for.
         :param time_left: seconds that it may take, if less than usual.
         :returns: a socket whose other end is the server.
-        :raises ConnectionRefusedError: when the server refuses connections of
-            a peer.
+        :raises ConnectionRefusedError: when no peer opened a tunnel, and the
+            server refuses connections of some.
         :raises NoTunnelError: when no peer opened a tunnel.
         """
         request = TunnelRequest(server.endpoint, request_id)
@@ -79,10 +79,18 @@
         peers = _order_peers(
             _list_peers(self._board, server), self._avoided_until
         )
+        refusal = None
         for peer in peers[:MAX_PEERS_ASKED]:
-            opened = await self._ask(peer, request)
+            # The link of one peer may be broken as well.
+            try:
+                opened = await self._ask(peer, request)
+            except ConnectionRefusedError as error:
+                refusal = error
+                continue
             if opened:
                 return opened
+        if refusal:
+            raise refusal
         raise NoTunnelError(f'no peer opened a tunnel to server {server.name}')
 
     async def _ask(
