--- /dev/null
+++ b/tools/link_mutations.py
@@ -0,0 +1,53 @@
+"""Rules on links to servers and on brittle servers, broken on purpose."""
+
+from typing import Final
+
+from tools.mutation import Mutation
+
+_INTERNAL: Final = 'dykemast/_internal'
+_SENDING: Final = f'{_INTERNAL}/serving/sending'
+
+#: Mutations of these rules.
+LINK_MUTATIONS: Final = (
+    Mutation(
+        'never take all links of a service for broken',
+        'callers of routers without links are served',
+        f'{_INTERNAL}/operations/server_links.py',
+        'needed = 1 if self.isolated_since else min(MIN_BROKEN_LINKS, listed)',
+        'needed = MIN_BROKEN_LINKS + listed',
+        'test_server_links',
+    ),
+    Mutation(
+        'ask no peer when a connection fails',
+        'callers of routers without links are served',
+        f'{_SENDING}/upstream_connections.py',
+        'tunnel = await self._replace_link(outgoing, error)',
+        'raise _make_unconnected(error, absent=False) from error',
+        'test_callers_of_a_router_whose_links_are_refused',
+    ),
+    Mutation(
+        'believe each refusal of a connection',
+        'sound servers are not told as crashed',
+        f'{_SENDING}/upstream_connections.py',
+        'tunnel = await self._open_tunnel(outgoing)\n        if tunnel is None:'
+        '\n            absent',
+        'tunnel = None\n        if tunnel is None:\n            absent',
+        'test_a_router_without_links_reports',
+    ),
+    Mutation(
+        'let each router fill a brittle server',
+        'brittle servers reject few requests',
+        f'{_INTERNAL}/operations/shared_rate_limiter.py',
+        'share = slots // len(routers) + int(rank < remainder)',
+        'share = slots + remainder',
+        'test_slot_shares',
+    ),
+    Mutation(
+        'exceed the share whatever peers report',
+        'brittle servers reject few requests',
+        f'{_SENDING}/send_checks.py',
+        'if running < FREE_SHARE * server.slots:',
+        'if running >= 0:',
+        'test_brittle_servers_reject_few',
+    ),
+)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -5,6 +5,7 @@
 from tools.crash_mutations import CRASH_MUTATIONS
 from tools.fleet_mutations import FLEET_MUTATIONS
 from tools.hall_mutations import HALL_MUTATIONS
+from tools.link_mutations import LINK_MUTATIONS
 from tools.load_mutations import LOAD_MUTATIONS
 from tools.mutation import Mutation
 from tools.serving_mutations import SERVING_MUTATIONS
@@ -76,6 +77,7 @@
     *STOP_MUTATIONS,
     *LOAD_MUTATIONS,
     *HALL_MUTATIONS,
+    *LINK_MUTATIONS,
     *SOAK_MUTATIONS,
     Mutation(
         'grant more than is free',
