Be ready only once the list of backend servers is known

Callers of a router that had just started got 503 not_current for some ms, though it said that it was ready and stood in entry answers: is_ready looked at the configuration, evacuated halls and failing loops, and not at the servers, without which every request is refused. Ruled out: waiting for a read of the store alone; a router that starts while the store is down has the list from a peer, so a list of either source is enough.

Two unit tests that build a ready router say now that it knows the servers.

--- a/src/dykemast/_internal/serving/process/entry.py
+++ b/src/dykemast/_internal/serving/process/entry.py
@@ -14,6 +14,7 @@
     decode_entry_question,
     encode_entry,
 )
+from dykemast._internal.platform.servers import SERVER_KIND
 from dykemast._internal.serving.knowledge.cache_freshness import (
     get_evacuations_freshness,
 )
@@ -76,6 +77,9 @@
     """
     if board.table is None or board.stopping:
         return False
+    if not (board.server_state.revision or SERVER_KIND in board.last_read_at):
+        # Neither the store nor a peer has sent the list of backend servers.
+        return False
     if get_evacuations_freshness(board).outdated:
         # The list of evacuated halls has not been read, or is too old.
         return False
--- a/tests/lib/serving_boards.py
+++ b/tests/lib/serving_boards.py
@@ -7,6 +7,7 @@
     InstanceSettings,
     Listeners,
 )
+from dykemast._internal.platform.servers import SERVER_KIND
 from dykemast._internal.serving.sending.server_paths import ServerPaths
 from dykemast._internal.serving.state.board import Peer, ServingBoard
 from dykemast._internal.utils.clock import read_clock
@@ -50,3 +51,8 @@
 def make_paths() -> ServerPaths:
     """Make the paths to servers of a router without peers."""
     return ServerPaths(make_board())
+
+
+def mark_servers_read(board: ServingBoard) -> None:
+    """Have a router know the list of backend servers, which is empty."""
+    board.last_read_at[SERVER_KIND] = read_clock()
--- a/tests/unit/test_listener_ends.py
+++ b/tests/unit/test_listener_ends.py
@@ -12,7 +12,11 @@
 from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.serving.process import planned_stop, runtime
 from dykemast._internal.serving.process.entry import is_ready
-from tests.lib.serving_boards import make_board, make_endpoint
+from tests.lib.serving_boards import (
+    make_board,
+    make_endpoint,
+    mark_servers_read,
+)
 from tests.lib.users_objects import make_configuration
 from tools.polling import POLL
 from tools.ports import find_ports
@@ -27,6 +31,7 @@
     board.settings = board.settings._replace(listeners=listeners)
     stored = StoreObject('main', 1, make_configuration())
     board.table = decode_configuration(stored)
+    mark_servers_read(board)
     return await runtime.open_runtime(board)
 
 
