Say in a refusal since when the router has no links

On call, the line of a refused request named the servers that were tried and the last error; that its router had lost the servers, and since when, stood in other lines without the request's id.

The errors of a tunnel name the router, the status and the target. The broad except around its socket, which logged nothing, is a context now.

--- a/src/dykemast/_internal/network/tunnels.py
+++ b/src/dykemast/_internal/network/tunnels.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import re
 import socket
 from http import HTTPStatus
@@ -83,12 +84,11 @@
     :raises TunnelError: when the other router refuses; its status says why.
     :raises OSError: when the other router does not respond.
     """
-    sock = make_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
-    try:
+    with contextlib.ExitStack() as on_failure:
+        sock = make_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
+        on_failure.callback(sock.close)
         await _request_tunnel(sock, router, request)
-    except BaseException:
-        sock.close()
-        raise
+        on_failure.pop_all()
     return sock
 
 
@@ -100,10 +100,15 @@
     await loop.sock_sendall(sock, request.encode())
     response = _RESPONSE.match(await _read_head(sock))
     if response is None:
-        raise ConnectionError(f'invalid response of {router} to CONNECT')
+        raise ConnectionError(
+            f'router {router} sent no valid response to CONNECT'
+        )
     status = int(response.group(1))
     if status != HTTPStatus.OK:
-        raise TunnelError(f'status {status} of {router}', status)
+        raise TunnelError(
+            f'router {router} responded {status} to CONNECT {request.target}',
+            status,
+        )
 
 
 async def _read_head(sock: socket.socket) -> bytes:
--- a/src/dykemast/_internal/operations/server_links.py
+++ b/src/dykemast/_internal/operations/server_links.py
@@ -8,7 +8,7 @@
 import asyncio
 import math
 from collections.abc import Collection
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from dykemast._internal.models.backend import BackendServer
 
@@ -99,6 +99,25 @@
             for link in self.broken.values()
         )
 
+    def describe(self, service: str, now: float) -> dict[str, Any]:
+        """Describe the broken links to a service, for log lines.
+
+        :param service: the service.
+        :param now: seconds on the monotonic clock.
+        :returns: since when this router is isolated, in seconds, and the
+            servers that only a peer could connect to; empty without any.
+        """
+        servers = [
+            name
+            for name, link in self.broken.items()
+            if link.service == service
+        ]
+        since = self.isolated_since.get(service, now)
+        lost_s = round(now - since, 3)
+        return (
+            {'links_lost_s': lost_s, 'links_broken': servers} if servers else {}
+        )
+
     def prune(self, servers: Collection[str]) -> None:
         """Drop the broken links to servers that are not listed any more.
 
--- a/src/dykemast/_internal/serving/admission/checks.py
+++ b/src/dykemast/_internal/serving/admission/checks.py
@@ -92,8 +92,10 @@
     :param admitted: the request.
     :returns: fields for the log.
     """
-    usable = list_usable(board, admitted.service.name)
+    service = admitted.service.name
+    usable = list_usable(board, service)
     return {
+        **board.links.describe(service, read_clock()),
         'usable': len(usable),
         'held_back': describe_backpressure(board, usable),
         'emptied': sorted(board.evacuations.halls),
--- a/src/dykemast/_internal/serving/admission/trials.py
+++ b/src/dykemast/_internal/serving/admission/trials.py
@@ -34,7 +34,7 @@
     request = identity.compute_digest()
     if request in board.crashes.quarantines:
         return True
-    # A recent broken send may turn out to be a crash.
+    # A recent broken send may have been a crash.
     known = board.crashes.crash_sequences.get(request, [])
     extended_sequence = find_crash_sequence(
         [*known, *board.broken.list_runs(request)]
