Send a request again through a peer when its connection broke

Cause: whose fault a broken connection is was asked only after the retry.

Change: a send that follows a broken connection asks a peer first; a router whose own connections broke within a second checks that a connection for a peer stays open for 50 ms before it offers it. A direct connection is not replaced twice when no peer could open a tunnel before it.

Tests: streams of two routers whose links reset late are whole (cut before); streams through a peer that is killed are resumed, and orders through it run once each (both held before).

--- a/src/dykemast/_internal/serving/relay/attempts.py
+++ b/src/dykemast/_internal/serving/relay/attempts.py
@@ -80,7 +80,12 @@
         except RefusedError as error:
             raise self._refuse(before, error) from error
         self.tried.append(server.name)
-        send = Send(server, read_clock(), self._identity)
+        send = Send(
+            server,
+            read_clock(),
+            self._identity,
+            avoids_link=before is not None and before.broken,
+        )
         log_send(self._parts, self._admitted, send, len(self.tried))
         try:
             await deliver(send)
@@ -96,7 +101,12 @@
         failure: UpstreamError | None,
         refused: RefusedError | None = None,
     ) -> RefusedError:
-        details = {'tried': self.tried, 'reason': str(failure)}
+        links = self._parts.board.links
+        details = {
+            'tried': self.tried,
+            'reason': str(failure),
+            **links.describe(self._admitted.service.name, read_clock()),
+        }
         if not self.may_have_run:
             retry_after_s = compute_retry_after(self._exchange)
             return refused or RefusedError(
--- a/src/dykemast/_internal/serving/relay/event_streams.py
+++ b/src/dykemast/_internal/serving/relay/event_streams.py
@@ -66,7 +66,10 @@
 
     async def _send(self, send: Send, prefill: Prefill) -> None:
         outgoing = make_upstream_request(
-            self._admitted, self._body, send.server
+            self._admitted,
+            self._body,
+            send.server,
+            avoids_link=send.avoids_link,
         )
         outgoing = outgoing.resume_after(self.relay.last_event)
         async with self._parts.upstreams.send(outgoing) as response:
--- a/src/dykemast/_internal/serving/relay/plain_calls.py
+++ b/src/dykemast/_internal/serving/relay/plain_calls.py
@@ -4,7 +4,6 @@
 from typing import Final, NamedTuple
 
 from dykemast._internal.exceptions import UpstreamError
-from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.models.forwarding import ResponseHead
 from dykemast._internal.serving.relay.attempts import Attempts
 from dykemast._internal.serving.relay.exchange import Exchange
@@ -32,7 +31,7 @@
     attempts = Attempts(exchange)
 
     async def deliver(send: Send) -> None:
-        response = await _fetch(exchange, send.server)
+        response = await _fetch(exchange, send)
         status = response.head.status
         may_repeat = len(attempts.tried) < admitted.route.max_workers
         if status >= FIRST_SERVER_ERROR_STATUS and may_repeat:
@@ -44,12 +43,17 @@
     await attempts.run(deliver)
 
 
-async def _fetch(exchange: Exchange, server: BackendServer) -> _Response:
-    outgoing = make_upstream_request(exchange.admitted, exchange.body, server)
+async def _fetch(exchange: Exchange, send: Send) -> _Response:
+    outgoing = make_upstream_request(
+        exchange.admitted,
+        exchange.body,
+        send.server,
+        avoids_link=send.avoids_link,
+    )
     loads = exchange.parts.loads.own
     with contextlib.ExitStack() as ending:
-        loads.begin(server.name, 0)
-        ending.callback(loads.end, server.name)
+        loads.begin(send.server.name, 0)
+        ending.callback(loads.end, send.server.name)
         async with exchange.parts.upstreams.send(outgoing) as response:
             body = await response.read_whole(exchange.admitted.deadline)
             return _Response(response.head, body)
--- a/src/dykemast/_internal/serving/relay/sends.py
+++ b/src/dykemast/_internal/serving/relay/sends.py
@@ -22,6 +22,8 @@
     :param server: the server that receives the request.
     :param sent_at: seconds on the monotonic clock.
     :param identity: digest of the request.
+    :param avoids_link: whether the previous connection of the request broke,
+        so that the link may be broken.
     """
 
     def __init__(
@@ -29,8 +31,11 @@
         server: BackendServer,
         sent_at: float,
         identity: RequestIdentity,
+        *,
+        avoids_link: bool = False,
     ) -> None:
         """Create a send without events."""
+        self.avoids_link = avoids_link
         self.server = server
         self.sent_at = sent_at
         self.identity = identity
--- a/src/dykemast/_internal/serving/sending/direct_links.py
+++ b/src/dykemast/_internal/serving/sending/direct_links.py
@@ -9,6 +9,7 @@
 from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.network.sockets import make_socket
 from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.utils.clock import read_clock
 
 #: Connecting takes a few milliseconds, and the host of a crashed server refuses
 #: at once.
@@ -18,6 +19,9 @@
 STAY_OPEN_S: Final = 0.05
 #: Number of other servers that are tried when one refuses connections.
 MAX_CHECKED: Final = 3
+#: Time after a broken connection for which new ones are checked: a broken link
+#: may accept connections and reset them.
+RECENT_BREAK_S: Final = 1.0
 
 
 async def check_link(server: BackendServer) -> None:
@@ -66,6 +70,16 @@
     return not others
 
 
+def has_recent_break(board: ServingBoard) -> bool:
+    """Check whether connections of this router broke a moment ago.
+
+    :param board: the blackboard.
+    :returns: whether its links may be broken.
+    """
+    since = read_clock() - RECENT_BREAK_S
+    return any(at > since for at in board.broken.list_last_breaks().values())
+
+
 async def _connect(sock: socket.socket, server: BackendServer) -> None:
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(CHECK_TIMEOUT_S):
--- a/src/dykemast/_internal/serving/sending/tunnel_targets.py
+++ b/src/dykemast/_internal/serving/sending/tunnel_targets.py
@@ -99,4 +99,19 @@
         text = f'no connection to server {server.name}: {error}'
         raise TunnelError(text, status) from error
     sockets.set_options(streams[1].get_extra_info('socket'))
+    if direct_links.has_recent_break(board) and await _is_closed(streams[0]):
+        streams[1].close()
+        text = f'server {server.name} closes connections of this router'
+        raise TunnelError(text, HTTPStatus.GATEWAY_TIMEOUT)
     return streams
+
+
+async def _is_closed(reader: asyncio.StreamReader) -> bool:
+    try:
+        async with asyncio.timeout(direct_links.STAY_OPEN_S):
+            await reader.read(1)
+    except TimeoutError:
+        return False
+    except OSError as error:
+        _log('link_reset', reason=f'{type(error).__name__}: {error}')
+    return True
--- a/src/dykemast/_internal/serving/sending/upstream_connections.py
+++ b/src/dykemast/_internal/serving/sending/upstream_connections.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from dykemast._internal.exceptions import NoTunnelError, UpstreamError
+from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.serving.sending import upstream_session
 from dykemast._internal.serving.sending.server_paths import ServerPaths
 from dykemast._internal.serving.sending.upstream_request import UpstreamRequest
@@ -41,10 +42,12 @@
         :returns: the response, with its body still to read.
         :raises UpstreamError: if there is no connection to the server.
         """
-        tunnel = None
-        if self._paths.is_link_broken(outgoing.server):
+        server = outgoing.server
+        if outgoing.avoids_link or self._paths.is_link_broken(server):
             tunnel = await self._open_tunnel(outgoing)
-        if tunnel is None:
+            if tunnel is None:
+                return await self._request_without_peer(outgoing)
+        else:
             try:
                 return await self._request_directly(outgoing)
             except _NO_CONNECTION as error:
@@ -89,21 +92,38 @@
         except ConnectionRefusedError as error:
             raise _make_unconnected(error, absent=True) from error
 
+    async def _request_without_peer(
+        self, outgoing: UpstreamRequest
+    ) -> aiohttp.ClientResponse:
+        """Try the direct link although it may be broken."""
+        try:
+            return await self._request_directly(outgoing)
+        except _NO_CONNECTION as error:
+            failure = await _make_failure(self._paths, outgoing.server, error)
+            raise failure from error
+
     async def _replace_link(
         self, outgoing: UpstreamRequest, error: Exception
     ) -> socket.socket:
         """Open a tunnel in place of a direct connection that failed."""
-        server = outgoing.server
         tunnel = await self._open_tunnel(outgoing)
         if tunnel is None:
-            absent = _is_refused(error)
-            if absent:
-                absent = await self._paths.confirm_refusal(server)
-            raise _make_unconnected(error, absent=absent) from error
-        self._paths.record_broken(server)
+            failure = await _make_failure(self._paths, outgoing.server, error)
+            raise failure from error
+        self._paths.record_broken(outgoing.server)
         return tunnel
 
 
+async def _make_failure(
+    paths: ServerPaths, server: BackendServer, error: Exception
+) -> UpstreamError:
+    """Make the error of a server that neither end could connect to."""
+    absent = _is_refused(error)
+    if absent:
+        absent = await paths.confirm_refusal(server)
+    return _make_unconnected(error, absent=absent)
+
+
 def _is_connection_new() -> bool:
     return upstream_session.is_new_connection.get()
 
--- a/src/dykemast/_internal/serving/sending/upstream_request.py
+++ b/src/dykemast/_internal/serving/sending/upstream_request.py
@@ -22,6 +22,8 @@
         to begin.
     :param made_at: seconds on the monotonic clock at which the server was
         chosen.
+    :param avoids_link: whether a peer is asked for a tunnel first, since the
+        previous connection of this request broke.
     """
 
     server: BackendServer
@@ -30,6 +32,7 @@
     added: ForwardingFields
     deadline: float
     made_at: float
+    avoids_link: bool = False
 
     def resume_after(self, event: str) -> 'UpstreamRequest':
         """Make a request that resumes a stream after an event.
@@ -48,12 +51,15 @@
     admitted: AdmittedRequest,
     body: bytes,
     server: BackendServer,
+    *,
+    avoids_link: bool = False,
 ) -> UpstreamRequest:
     """Make the request to a backend server.
 
     :param admitted: the admitted request.
     :param body: its body.
     :param server: the server that gets it.
+    :param avoids_link: whether a peer is asked for a tunnel first.
     :returns: the request to the server.
     """
     workspace = admitted.workspace
@@ -68,5 +74,11 @@
         priority=priority,
     )
     return UpstreamRequest(
-        server, admitted.request, body, added, admitted.deadline, now
+        server,
+        admitted.request,
+        body,
+        added,
+        admitted.deadline,
+        now,
+        avoids_link,
     )
--- a/tools/link_mutations.py
+++ b/tools/link_mutations.py
@@ -28,11 +28,10 @@
     Mutation(
         'believe each refusal of a connection',
         'sound servers are not told as crashed',
-        f'{_SENDING}/upstream_connections.py',
-        'tunnel = await self._open_tunnel(outgoing)\n        if tunnel is None:'
-        '\n            absent',
-        'tunnel = None\n        if tunnel is None:\n            absent',
-        'test_a_router_without_links_reports',
+        f'{_SENDING}/tunnel_targets.py',
+        'if await direct_links.has_other_link(board, server):',
+        'if server:',
+        'test_a_refusal_says',
     ),
     Mutation(
         'let each router fill a brittle server',
