Log the version of each send and of each resumed stream

Server entries now decode `version`; the lines `server_new`, `send` and `first_event` tell it, `admitted` tells what a resuming caller names, and `stream_resumed` with the counter resumed_streams_total tells each send that goes on, and by whom. Routing is unchanged.

--- a/src/dykemast/_internal/models/backend.py
+++ b/src/dykemast/_internal/models/backend.py
@@ -20,6 +20,8 @@
     :param sequence: number of heartbeats since its start.
     :param cold_left_s: remaining seconds of its cold phase when its entry was
         written.
+    :param version: version of its software; versions are not ordered. Servers
+        without one are alike.
     """
 
     name: str
@@ -32,6 +34,7 @@
     born: int | None = None
     sequence: int | None = None
     cold_left_s: float = 0
+    version: str = ''
 
 
 class Evacuations(NamedTuple):
--- a/src/dykemast/_internal/platform/names.py
+++ b/src/dykemast/_internal/platform/names.py
@@ -17,6 +17,9 @@
 PRIORITY: Final = 'x-request-priority'
 #: Last event that was received; a resumed stream continues after it.
 LAST_EVENT: Final = 'last-event-id'
+#: Id of the caller's attempt that brought the first event of the stream that
+#: this request resumes.
+RESUMES: Final = 'resumes'
 #: ``PROMPT,OUTPUT``: prompt tokens and maximum output tokens, as declared by
 #: the caller; not the actual usage.
 TOKENS: Final = 'x-token-usage'
--- a/src/dykemast/_internal/platform/servers.py
+++ b/src/dykemast/_internal/platform/servers.py
@@ -1,5 +1,6 @@
 """Store entries of backend servers and of halls being evacuated."""
 
+import hashlib
 import re
 from typing import Annotated, Any, Final, Literal, NotRequired, TypedDict
 
@@ -28,6 +29,8 @@
 _MS: Final = 1000.0
 #: Field with the milliseconds for which the server stays cold.
 _COLD_LEFT: Final = 'coldLeftMs'
+#: Field with the version of the server's software.
+_VERSION: Final = 'version'
 #: Longest time for which an entry may declare its server cold. Without a bound
 #: the server could stay rate-limited forever.
 MAX_COLD_S: Final = 600.0
@@ -81,8 +84,21 @@
         born=fields.get('born'),
         sequence=fields.get('sequence'),
         cold_left_s=_decode_cold(stored.spec.get(_COLD_LEFT, 0)),
+        version=_decode_version(stored.spec.get(_VERSION)),
     )
 
 
 def _decode_cold(milliseconds: Any) -> float:
     return min(MAX_COLD_S, msgspec.convert(milliseconds, _Milliseconds) / _MS)
+
+
+def _decode_version(told: Any) -> str:
+    """Decode a version; one that is no short text is still told apart."""
+    if told is None:
+        return ''
+    text = told
+    if not isinstance(told, str):
+        text = msgspec.json.encode(told).decode()
+    if len(text) <= _MAX_TEXT_CHARS:
+        return text
+    return hashlib.blake2b(text.encode(errors='replace')).hexdigest()
--- a/src/dykemast/_internal/serving/knowledge/backends.py
+++ b/src/dykemast/_internal/serving/knowledge/backends.py
@@ -117,6 +117,7 @@
             endpoint=str(server.endpoint),
             hall=server.hall,
             slots=server.slots,
+            version=server.version,
         )
     if server.leaving:
         mark_leaving(board, [server.name], 'store')
--- a/src/dykemast/_internal/serving/process/request_records.py
+++ b/src/dykemast/_internal/serving/process/request_records.py
@@ -41,6 +41,9 @@
     """
     request = admitted.request
     workspace = admitted.workspace
+    resumed = {}
+    if request.last_event_id:
+        resumed = {'resumes': request.resumes, 'after': request.last_event_id}
     _log(
         'admitted',
         request=request.request_id,
@@ -51,6 +54,7 @@
         tokens=request.prompt_tokens + request.output_tokens,
         left_s=round(admitted.deadline - admitted.started, 3),
         connection=connection,
+        **resumed,
     )
 
 
--- a/src/dykemast/_internal/serving/relay/event_streams.py
+++ b/src/dykemast/_internal/serving/relay/event_streams.py
@@ -10,8 +10,9 @@
 from dykemast._internal.serving.relay.payments import Payment
 from dykemast._internal.serving.relay.pauses import PauseMeter
 from dykemast._internal.serving.relay.prefill import Prefill, record_prompt
-from dykemast._internal.serving.relay.sends import Send
+from dykemast._internal.serving.relay.sends import Send, record_resumption
 from dykemast._internal.serving.sending.upstream_request import (
+    UpstreamRequest,
     make_upstream_request,
 )
 from dykemast._internal.serving.sending.upstream_response import (
@@ -65,13 +66,7 @@
             self._parts.loads.own.end(server.name)
 
     async def _send(self, send: Send, prefill: Prefill) -> None:
-        outgoing = make_upstream_request(
-            self._admitted,
-            self._body,
-            send.server,
-            avoids_link=send.avoids_link,
-        )
-        outgoing = outgoing.resume_after(self.relay.last_event)
+        outgoing = self._make_request(send)
         async with self._parts.upstreams.send(outgoing) as response:
             # The request has run, even if the response is an error.
             self._attempts.may_have_run = True
@@ -90,6 +85,18 @@
             await self.relay.finish()
             meter.log_summary(self.relay.events)
 
+    def _make_request(self, send: Send) -> UpstreamRequest:
+        after = self.relay.last_event
+        if after or self._admitted.request.last_event_id:
+            record_resumption(self._parts, self._admitted, send, after)
+        outgoing = make_upstream_request(
+            self._admitted,
+            self._body,
+            send.server,
+            avoids_link=send.avoids_link,
+        )
+        return outgoing.resume_after(after)
+
     async def _forward_error(self, response: UpstreamResponse) -> None:
         error_body = await response.read_whole(self._admitted.deadline)
         await self.relay.forward_error(response.head, error_body)
--- a/src/dykemast/_internal/serving/relay/pauses.py
+++ b/src/dykemast/_internal/serving/relay/pauses.py
@@ -65,6 +65,7 @@
             'first_event',
             request=self._admitted.request.request_id,
             server=self._engine,
+            version=self._send.server.version,
             took_s=round(now - self._admitted.started, 3),
         )
 
--- a/src/dykemast/_internal/serving/relay/sends.py
+++ b/src/dykemast/_internal/serving/relay/sends.py
@@ -94,6 +94,7 @@
         request=admitted.request.request_id,
         service=admitted.service.name,
         server=server,
+        version=send.server.version,
         nth=nth,
         running=load.running,
         unread=load.unread,
@@ -101,3 +102,26 @@
         pause_risk=round(pause_risk, 2),
         trust=round(parts.trust.get_score(server, send.sent_at), 2),
     )
+
+
+def record_resumption(
+    parts: Parts, admitted: AdmittedRequest, send: Send, after: str
+) -> None:
+    """Log and count a send that resumes a stream.
+
+    :param parts: shared components of the process.
+    :param admitted: the request.
+    :param send: the send.
+    :param after: last event that this router passed on; empty when the caller
+        resumes the stream.
+    """
+    by = 'router' if after else 'caller'
+    parts.metrics.resumed_streams.inc({'by': by})
+    _log(
+        'stream_resumed',
+        request=admitted.request.request_id,
+        by=by,
+        after=after or admitted.request.last_event_id,
+        server=send.server.name,
+        version=send.server.version,
+    )
--- a/src/dykemast/_internal/serving/state/monitoring.py
+++ b/src/dykemast/_internal/serving/state/monitoring.py
@@ -17,6 +17,8 @@
     :param sends: sends to backend servers, by service and outcome.
     :param cold_sends: sends to servers that were cold, by service.
     :param limited_sends: sends to servers with a rate limit, by service.
+    :param resumed_streams: streams that went on at another send, by whether the
+        router or the caller resumed them.
     :param first_byte: seconds until an answer began.
     :param duration: seconds until an answer was complete.
     :param tokens: tokens held and consumed.
@@ -30,6 +32,7 @@
     sends: Counter
     cold_sends: Counter
     limited_sends: Counter
+    resumed_streams: Counter
     first_byte: Histogram
     duration: Histogram
     tokens: Counter
@@ -62,6 +65,7 @@
         count('sends_total', 'Sends to backend servers.'),
         count('cold_sends_total', 'Sends to cold backend servers.'),
         count('limited_sends_total', 'Sends to servers that named a limit.'),
+        count('resumed_streams_total', 'Streams that were resumed.'),
         time('first_byte', 'Time until an answer began.'),
         time('whole', 'Time until an answer was whole.'),
         count('tokens_total', 'Tokens held and consumed.'),
