Add failing tests of streams that go on at another version

Callers saw streams with events of two software versions of a service. Eight tests over real processes, with four servers of two versions and 16 callers who take streams up by Last-Event-Id and Resumes, check the version of each event: after a server breaks off, at another router, after one router, two or all are killed, after a version replaces the other, after a start in place at another version, while the store is away. Each also checks that enough streams go on.

--- /dev/null
+++ b/tests/functional/test_stream_versions.py
@@ -0,0 +1,229 @@
+"""A stream goes on only at servers of the version that began it."""
+
+import time
+from collections.abc import Callable
+from types import MappingProxyType
+
+from tests.lib.deployment import Deployment
+from tests.lib.stream_callers import Crowd, Stream
+from tests.lib.users_objects import make_next_start, make_server
+from tools.polling import HANG_GUARD, poll_until
+
+OLD, NEW = 'v1', 'v1.1'
+ENGINES = 4
+TWO_VERSIONS = MappingProxyType(
+    {
+        'engine-0': OLD,
+        'engine-1': OLD,
+        'engine-2': NEW,
+        'engine-3': NEW,
+    }
+)
+#: Seconds between two events, for which callers ask, and between two faults.
+EVENT_S = 0.03
+ASKED_S = 5.0
+FAULT_S = 1.5
+DOWN_S = 0.3
+#: Seconds from a change of the list to the loss: streams still run.
+REPLACED_S = 0.8
+#: Streams that have to be taken up for a share to say something, and the
+#: smallest part of the share of new streams that begin which has to go on.
+MIN_RESUMED = 12
+LEAST_SHARE = 0.5
+
+
+def start(
+    versions: dict[str, str] | None = None,
+    routers: int = 3,
+) -> Deployment:
+    deployment = Deployment(routers, ENGINES)
+    deployment.versions = dict(versions or TWO_VERSIONS)
+    deployment.start(prepaid=100_000_000)
+    for engine in deployment.versions:
+        deployment.control(engine, pause=EVENT_S)
+    return deployment
+
+
+def play(
+    deployment: Deployment,
+    strike: Callable[[Deployment], object],
+    closing: float = 0,
+) -> list[Stream]:
+    """Have callers ask while something happens again and again."""
+    crowd = Crowd(deployment, closing=closing)
+    until = time.monotonic() + ASKED_S
+    while time.monotonic() < until:
+        wait_faults(1)
+        strike(deployment)
+    return crowd.stop()
+
+
+def check(streams: list[Stream], resumed: int = MIN_RESUMED) -> None:
+    """Check that no stream is of two versions, and that streams go on."""
+    mixed = [one for one in streams if len(one.list_versions()) > 1]
+    assert not mixed, (len(mixed), len(streams), mixed[0].tries)
+    assert all(one.is_in_order() for one in streams)
+    taken_up = [one for one in streams if one.list_resumed()]
+    if resumed:
+        assert len(taken_up) >= resumed, len(taken_up)
+        went_on = sum(one.goes_on() for one in taken_up)
+        begun = compute_share_begun(streams)
+        assert went_on >= LEAST_SHARE * begun * len(taken_up), (
+            went_on,
+            len(taken_up),
+        )
+
+
+def compute_share_begun(streams: list[Stream]) -> float:
+    tries = [one for stream in streams for one in stream.tries]
+    new = [one for one in tries if not one.resumes]
+    return sum(one.events > 0 for one in new) / len(new)
+
+
+def start_router_again(deployment: Deployment, name: str) -> None:
+    deployment.processes.kill(name)
+    time.sleep(DOWN_S)
+    deployment.start_router(name)
+
+
+def kill_one(deployment: Deployment) -> None:
+    start_router_again(deployment, 'node-0')
+
+
+def kill_all(deployment: Deployment) -> None:
+    for name in deployment.names:
+        deployment.processes.kill(name)
+    time.sleep(DOWN_S)
+    for name in deployment.names:
+        deployment.start_router(name)
+
+
+def kill_most(deployment: Deployment) -> None:
+    for name in deployment.names[:-1]:
+        deployment.processes.kill(name)
+    time.sleep(DOWN_S)
+    for name in deployment.names[:-1]:
+        deployment.start_router(name)
+
+
+def do_nothing(_: Deployment) -> None:
+    """Leave the deployment as it is."""
+
+
+def test_a_stream_whose_server_breaks_off_stays_at_its_version() -> None:
+    deployment = start()
+    for engine in ('engine-0', 'engine-2'):
+        deployment.control(engine, fault='cut')
+    streams = play(deployment, do_nothing)
+    check(streams, resumed=0)
+    whole = [one for one in streams if one.is_whole()]
+    assert len(whole) > len(streams) / 2
+    deployment.stop()
+
+
+def test_a_stream_taken_up_at_another_router_stays_at_its_version() -> None:
+    deployment = start()
+    check(play(deployment, do_nothing, closing=0.4))
+    deployment.stop()
+
+
+def test_streams_of_a_killed_router_go_on_at_their_versions() -> None:
+    deployment = start()
+    check(play(deployment, kill_one))
+    deployment.stop()
+
+
+def test_streams_of_two_killed_routers_go_on_at_their_versions() -> None:
+    deployment = start()
+    check(play(deployment, kill_most))
+    deployment.stop()
+
+
+def test_streams_go_on_at_their_versions_after_a_loss_of_all_routers() -> None:
+    deployment = start()
+    check(play(deployment, kill_all))
+    deployment.stop()
+
+
+def test_streams_do_not_go_on_at_a_version_that_replaces_theirs() -> None:
+    # All routers are lost when the list no longer holds the old version.
+    deployment = start()
+    listed = list_entries(deployment)
+    unlist(deployment, NEW)
+    wait_faults(1)
+    crowd = Crowd(deployment)
+    wait_faults(1)
+    replace(deployment, listed[NEW])
+    kill_all(deployment)
+    wait_faults(1)
+    check(crowd.stop(), resumed=0)
+    deployment.stop()
+
+
+def wait_faults(count: int) -> None:
+    time.sleep(count * FAULT_S)
+
+
+def replace(deployment: Deployment, entries: list) -> None:
+    """Replace the old version in the list; its streams still run."""
+    deployment.control('store', put=entries)
+    unlist(deployment, OLD)
+    time.sleep(REPLACED_S)
+
+
+def list_entries(deployment: Deployment) -> dict[str, list]:
+    """List the entries of servers by their version."""
+    found: dict[str, list] = {OLD: [], NEW: []}
+    for name, version in deployment.versions.items():
+        port = deployment.backend_ports[name]
+        found[version].append(make_server(name, port, version=version))
+    return found
+
+
+def unlist(deployment: Deployment, version: str) -> None:
+    gone = [
+        ['servers', name]
+        for name, listed in deployment.versions.items()
+        if listed == version
+    ]
+    deployment.control('store', remove=gone)
+
+
+def all_listen(deployment: Deployment) -> bool:
+    return all(deployment.is_listening(name) for name in TWO_VERSIONS)
+
+
+def test_streams_do_not_go_on_at_a_server_started_at_another_version() -> None:
+    # Same id, same address, another version; the entry follows later.
+    deployment = start()
+
+    def start_server_again(_: Deployment) -> None:
+        for name in ('engine-1', 'engine-3'):
+            deployment.processes.kill(name)
+            before = deployment.versions[name]
+            deployment.versions[name] = NEW if before == OLD else OLD
+            deployment.start_server(name)
+        assert poll_until(lambda: all_listen(deployment), HANG_GUARD)
+        time.sleep(DOWN_S)
+        for name in ('engine-1', 'engine-3'):
+            deployment.control(name, pause=EVENT_S)
+            stored = deployment.read_object('servers', name)
+            stored['version'] = deployment.versions[name]
+            put = [make_next_start(name, stored)]
+            deployment.control('store', put=put)
+
+    check(play(deployment, start_server_again), resumed=0)
+    deployment.stop()
+
+
+def test_streams_go_on_at_their_versions_while_the_store_is_away() -> None:
+    deployment = start()
+    crowd = Crowd(deployment)
+    wait_faults(1)
+    deployment.control('store', away=True)
+    wait_faults(2)
+    deployment.processes.kill('node-0')
+    wait_faults(2)
+    deployment.control('store', away=False)
+    check(crowd.stop(), resumed=1)
+    deployment.stop()
