Reject a request that names two streams to resume

A request with two Resumes or Last-Event-Id fields was restricted by the last one, while its server read whichever it chose. Both are declared fields now, of which a repeat is malformed (400), as for the other ones that a router reads. No caller is known to have sent one; found by reading. The new test failed before. Nothing else changes.

--- a/src/dykemast/_internal/platform/caller_fields.py
+++ b/src/dykemast/_internal/platform/caller_fields.py
@@ -52,7 +52,7 @@
     :raises ValueError: when a declared field is repeated.
     """
     counts = Counter(name for name, _ in pairs)
-    for name in names.CALLER_FIELDS:
+    for name in (*names.CALLER_FIELDS, names.LAST_EVENT, names.RESUMES):
         if counts[name] > 1:
             raise ValueError(f'{name} is set {counts[name]} times')
 
--- a/tests/unit/test_caller_fields.py
+++ b/tests/unit/test_caller_fields.py
@@ -10,6 +10,7 @@
 
 from dykemast._internal.models.forwarding import ForwardingFields
 from dykemast._internal.platform import names as words
+from dykemast._internal.platform.caller_fields import check_duplicates
 from dykemast._internal.platform.request_headers import (
     decode_request,
     encode_forwarding,
@@ -201,3 +202,10 @@
         *words.CONTROL_FAMILIES,
     }
     assert [name for name in told if f'`{name}`' not in named] == []
+
+
+@given(strategies.sampled_from(('resumes', 'last-event-id')))
+def test_a_request_that_resumes_two_streams_is_malformed(name: str) -> None:
+    check_duplicates([(name, '1')])
+    with TestCase().assertRaises(ValueError):
+        check_duplicates([(name, '1'), (name, '2')])
