Soak: servers of two versions, releases, and callers who take streams up

Callers of a soak take up streams that break, by Last-Event-Id and Resumes, in all seeds. Seeds from 6,000,000 on have six engines of two versions, of which two are replaced by the other version, beside kills of one router or all, store faults, frozen and stopped routers and engines that cut streams. Two promises: at most two streams hold events of two versions (ORDER), and of 12 or more that are taken up at routers in touch half of the share of new streams that begin goes on (LOST).

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -19,6 +19,8 @@
 ASK_SEED = 4_000_005
 #: Routers without links to servers, beside other faults.
 PARTITION_SEED = 5_000_001
+#: Servers of two versions, which replace each other while routers are killed.
+VERSION_SEED = 6_000_001
 
 
 def read_seeds() -> list[int]:
@@ -68,6 +70,10 @@
     check_seed(PARTITION_SEED)
 
 
+def test_a_seed_with_servers_of_two_versions_keeps_the_promises() -> None:
+    check_seed(VERSION_SEED)
+
+
 def test_a_seed_with_one_server_quarantines_no_other_request() -> None:
     # Fails if stored crash records quarantine the two slow requests that are
     # always in progress beside the crashing one: service does not recover, and
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,7 +11,7 @@
 from tests.soak.entries import EntryBook
 from tests.soak.exchange import Answer, Request, exchange
 from tests.soak.kept import Kept
-from tests.soak.requests import draw_request, make_fields
+from tests.soak.requests import draw_request, make_fields, take_up
 from tests.soak.seen import LEFT, UNREACHED, WHOLE, Seen
 
 #: Tries of one request, and seconds between them if nothing else is told.
@@ -21,6 +21,7 @@
 #: Statuses that promise that a request has not run.
 NOT_RUN = frozenset((429, 503))
 FAILED = 500
+OK = 200
 
 
 class Manner(NamedTuple):
@@ -74,6 +75,7 @@
             answer = self._try(request, fresh=number > 0)
             if not _may_retry(request, answer):
                 return
+            request = take_up(request, answer, self.seen[-1].request_id)
             time.sleep(self._choose_pause(answer))
 
     def _choose_pause(self, answer: Answer) -> float:
@@ -105,6 +107,8 @@
             answer.end,
             request.time_left,
             request.events,
+            request.after,
+            request.resumes,
         )
         self.seen.append(seen)
         return answer
@@ -141,7 +145,13 @@
     if answer.end == UNREACHED or _is_refused(answer):
         return True
     failed = answer.end != WHOLE or answer.status >= FAILED
-    return failed and request.path.startswith('/price/')
+    return failed and _is_repeatable(request, answer)
+
+
+def _is_repeatable(request: Request, answer: Answer) -> bool:
+    if request.path.startswith('/price/'):
+        return True
+    return request.events > 0 and answer.status == OK
 
 
 def _is_refused(answer: Answer) -> bool:
--- a/tests/soak/exchange.py
+++ b/tests/soak/exchange.py
@@ -23,12 +23,16 @@
     :param events: of the stream that it asks for; 0 for a plain answer.
     :param time_left: seconds that it gives.
     :param leaves_after: seconds after which it leaves; 0 if it stays.
+    :param after: last event that the caller has of a stream.
+    :param resumes: request that brought the first one.
     """
 
     path: str
     events: int = 0
     time_left: float = 2.5
     leaves_after: float = 0
+    after: int = 0
+    resumes: str = ''
 
 
 class Answer(NamedTuple):
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -10,6 +10,7 @@
 from tests.soak.proxy import MODES
 from tests.soak.series import draw_series
 from tests.soak.sizes import SMALL, Size
+from tests.soak.versions import draw_versions
 
 #: Seconds in which single faults begin.
 FAULT_TIME = 7.0
@@ -27,7 +28,9 @@
 FIRST_WITH_ASKS = 4_000_000
 #: Plans from this one on have routers that lose their links to all servers.
 FIRST_WITH_PARTITIONS = 5_000_000
-LAST_SEED = 6_000_000
+#: Plans from this one on have servers of two versions that replace each other.
+FIRST_WITH_VERSIONS = 6_000_000
+LAST_SEED = 7_000_000
 SERVERS = ('engine-0', 'engine-1', 'plain-0')
 STORE_FAULTS = ('away', 'silent', 'lose', 'deaf')
 CHANGES = ('raise', 'lower', 'routes')
@@ -51,6 +54,8 @@
 
 def _draw_special(chance: random.Random, seed: int, size: Size) -> list[Fault]:
     """Draw a plan of one of the later kinds."""
+    if seed >= FIRST_WITH_VERSIONS:
+        return draw_versions(chance, size, FAULT_TIME)
     if seed >= FIRST_WITH_PARTITIONS:
         return draw_partitions(chance, size, FAULT_TIME)
     if seed >= FIRST_WITH_ASKS:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,13 +3,13 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from tests.soak import partitions, versions
 from tests.soak.asks import find_unheeded
 from tests.soak.callers import NOT_RUN
 from tests.soak.changes import find_outdated
 from tests.soak.crashes import find_crash_storms
 from tests.soak.halls import find_cold_crowds, find_sent_to_emptied
 from tests.soak.losses import find_idle_work, find_losses
-from tests.soak.partitions import find_cut_off
 from tests.soak.returns import find_absence, find_late_sends, find_storms
 from tests.soak.seen import WHOLE, Seen, Witness
 from tests.soak.spending import count_spent, list_runs
@@ -53,7 +53,7 @@
 
 def _is_right(answer: Seen) -> bool:
     if answer.events:
-        expected = range(1, answer.events + 1)
+        expected = range(answer.after + 1, answer.events + 1)
         return _read_ids(answer.body) == list(expected)
     return answer.body == b'done'
 
@@ -99,5 +99,7 @@
     find_sent_to_emptied,
     find_cold_crowds,
     find_unheeded,
-    find_cut_off,
+    partitions.find_cut_off,
+    versions.find_mixed,
+    versions.find_not_resumed,
 )
--- a/tests/soak/requests.py
+++ b/tests/soak/requests.py
@@ -1,11 +1,12 @@
 """What callers ask for."""
 
 import random
+import re
 import uuid
 from typing import Any
 
 from tests.lib.users_objects import HOST, KEY
-from tests.soak.exchange import Request
+from tests.soak.exchange import Answer, Request
 
 PROMPT = 'aa:120,bb:80'
 PROMPT_TOKENS = 200
@@ -24,6 +25,8 @@
 LONG_TIME = 3.9
 #: Seconds after which callers leave who leave midway.
 LEAVE_TIMES = (0.02, 0.6)
+OK = 200
+_EVENT = re.compile(rb'id: (\d+)\ndata: [^\n]*\n\n')
 
 
 def draw_request(chance: random.Random, leaving: float) -> Request:
@@ -54,4 +57,17 @@
     if request.events:
         fields['X-Token-Usage'] = f'{PROMPT_TOKENS},{request.events}'
         fields['X-Prefix-Hash'] = PROMPT
+    if request.resumes:
+        fields['Last-Event-Id'] = str(request.after)
+        fields['Resumes'] = request.resumes
     return fields
+
+
+def take_up(request: Request, answer: Answer, request_id: str) -> Request:
+    """Make the next try of a stream go on where this one ended."""
+    numbers = _EVENT.findall(answer.body) if request.events else []
+    if not numbers or answer.status != OK:
+        return request
+    return request._replace(
+        after=int(numbers[-1]), resumes=request.resumes or request_id
+    )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,7 +3,7 @@
 import time
 from typing import NamedTuple
 
-from tests.soak import callers, halls, partitions
+from tests.soak import callers, halls, partitions, versions
 from tests.soak.faults import Fault
 from tests.soak.plan import (
     FAULT_TIME,
@@ -12,6 +12,7 @@
     FIRST_WITH_HALLS,
     FIRST_WITH_PARTITIONS,
     FIRST_WITH_SERIES,
+    FIRST_WITH_VERSIONS,
     make_plan,
 )
 from tests.soak.probes import list_takers, read_servers, wait_served
@@ -41,16 +42,11 @@
 
 def run_seed(seed: int, size: Size = SMALL) -> Outcome:
     """Play a seed."""
+    if seed >= FIRST_WITH_VERSIONS:
+        size = versions.choose_size(size)
     plan = make_plan(seed, size)
     world = World(size, _choose_prepaid(seed))
-    if FIRST_WITH_HALLS <= seed < FIRST_WITH_ASKS:
-        world.deployment.halls = dict(halls.HALLS)
-        world.engine_service = dict(halls.SERVICE)
-    elif FIRST_WITH_CRASHES <= seed < FIRST_WITH_HALLS:
-        # A process that stands still is then a machine that is suspended.
-        world.deployment.router_module = 'tests.lib.suspended_router'
-    elif seed >= FIRST_WITH_PARTITIONS:
-        partitions.prepare(world.deployment)
+    _prepare(world, seed)
     world.start()
     witness = _watch(
         world, plan, callers.Callers(world.deployment, seed, size.callers)
@@ -64,6 +60,20 @@
     return Outcome(broken, summarize(plan, witness))
 
 
+def _prepare(world: World, seed: int) -> None:
+    """Set what the deployment of a seed's kind has."""
+    if FIRST_WITH_HALLS <= seed < FIRST_WITH_ASKS:
+        world.deployment.halls = dict(halls.HALLS)
+        world.engine_service = dict(halls.SERVICE)
+    elif FIRST_WITH_CRASHES <= seed < FIRST_WITH_HALLS:
+        # A process that stands still is then a machine that is suspended.
+        world.deployment.router_module = 'tests.lib.suspended_router'
+    elif seed >= FIRST_WITH_VERSIONS:
+        versions.prepare(world.deployment)
+    elif seed >= FIRST_WITH_PARTITIONS:
+        partitions.prepare(world.deployment)
+
+
 def _watch(world: World, plan: list[Fault], asking: callers.Callers) -> Witness:
     asking.start()
     calm_at = _play(world, plan)
--- a/tests/soak/seen.py
+++ b/tests/soak/seen.py
@@ -33,6 +33,8 @@
     :param end: how it ended.
     :param time_left: seconds that the caller gave it.
     :param events: of a stream that is whole.
+    :param after: last event that the caller had before.
+    :param resumes: request that brought its first event; empty if this one did.
     """
 
     at: float
@@ -45,6 +47,8 @@
     end: str
     time_left: float = 2.5
     events: int = 0
+    after: int = 0
+    resumes: str = ''
 
 
 class Witness(NamedTuple):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,7 +12,7 @@
     make_next_start,
     make_route,
 )
-from tests.soak import asks, crashes, halls, partitions
+from tests.soak import asks, crashes, halls, partitions, versions
 from tests.soak.faults import Fault
 from tests.soak.history import ROUTE_ADDED, End, History
 from tests.soak.links import Links
@@ -196,6 +196,18 @@
         self.deployment.control('store', put=[started])
         end()
 
+    def _release(self, fault: Fault) -> None:
+        """Replace a server by one of another version."""
+        end = self.history.begin('server', fault.target)
+        versions.stop_server(self.deployment, fault.target)
+        self._later(
+            fault.lasts,
+            versions.start_server,
+            self.deployment,
+            fault.target,
+            end,
+        )
+
     def _configure(self, fault: Fault) -> None:
         self._version += 3
         if fault.how == 'routes':
--- a/tests/unit/test_soak_plan.py
+++ b/tests/unit/test_soak_plan.py
@@ -5,6 +5,7 @@
     FIRST_WITH_FOREIGN,
     FIRST_WITH_HALLS,
     FIRST_WITH_SERIES,
+    FIRST_WITH_VERSIONS,
     make_plan,
 )
 from tests.soak.routers import GRACE
@@ -74,3 +75,12 @@
 
 def test_a_stop_has_the_grace_of_the_settings() -> None:
     assert f'graceS = {GRACE:.0f}' in TEMPLATE
+
+
+def test_plans_have_releases_and_losses_beside_them() -> None:
+    seeds = range(FIRST_WITH_VERSIONS, FIRST_WITH_VERSIONS + 50)
+    kinds = {kind for seed in seeds for kind in list_kinds(seed)}
+    assert {'release', 'kill', 'kill_all', 'store', 'server'} <= kinds
+    for seed in seeds:
+        for fault in make_plan(seed):
+            assert hasattr(World, f'_{fault.kind}'), fault
