Let streams go on at servers that leave, and keep versions by route timeouts

A stream that no other server of its version can take may go there until 0.3 s before that time is over, counted from the last moment at which the router's copy did not say so, so that it never comes late; a server that announced its leaving in an answer gets none. Versions and foreign records are kept for two timeouts of the longest resumable route, 60 s at least: a constant would forget them on deployments with longer streams.

--- a/src/dykemast/_internal/operations/stream_origins.py
+++ b/src/dykemast/_internal/operations/stream_origins.py
@@ -15,9 +15,6 @@
 #: Seconds for which a stream is kept after the deadline of its request, and
 #: after its end: the caller may not have received the last events.
 EXTRA_S: Final = 5.0
-#: Seconds for which streams are kept that another process recorded, whose
-#: deadlines are not known: longer than requests usually may take.
-FOREIGN_S: Final = 60.0
 #: With 2^72 values, no caller can find a request id whose key is that of
 #: another stream.
 KEY_BYTES: Final = 9
@@ -137,15 +134,16 @@
             self._entries.pop(key)
         self.changes += len(uncertain)
 
-    def merge(self, records: Iterable[StreamRecord], now: float) -> None:
+    def merge(self, records: Iterable[StreamRecord], expires_at: float) -> None:
         """Record origins that another process knows.
 
         :param records: the origins.
-        :param now: seconds on the monotonic clock.
+        :param expires_at: seconds on the monotonic clock until which their
+            callers may take them up.
         """
         for key, origin in records:
             if key not in self._entries:
-                self.record(key, origin, now + FOREIGN_S)
+                self.record(key, origin, expires_at)
 
     def export(self, now: float) -> list[StreamRecord]:
         """Export the origins that have not expired, and drop the others.
@@ -161,14 +159,10 @@
 
 
 class VersionHistory:
-    """Versions that a service has, or had while streams of it may go on.
-
-    :param kept_s: seconds for which a version counts after it was last listed.
-    """
+    """Versions that each service has or had, and when they were last listed."""
 
-    def __init__(self, kept_s: float = FOREIGN_S) -> None:
+    def __init__(self) -> None:
         """Create an empty history."""
-        self._kept_s = kept_s
         self._seen_at: dict[str, dict[str, float]] = {}
         #: Whether the versions before the start of this process are known.
         self.is_complete = False
@@ -191,13 +185,12 @@
         """
         return list(self._seen_at)
 
-    def list_versions(self, service: str, now: float) -> list[str]:
-        """List the versions at which a stream that goes on may have begun.
+    def list_versions(self, service: str, since: float) -> list[str]:
+        """List the versions that a service has or had lately.
 
         :param service: the service.
-        :param now: seconds on the monotonic clock.
-        :returns: the versions, sorted.
+        :param since: seconds on the monotonic clock.
+        :returns: the versions that were listed after that, sorted.
         """
         seen_at = self._seen_at.get(service, {})
-        oldest = now - self._kept_s
-        return sorted(one for one, at in seen_at.items() if at > oldest)
+        return sorted(one for one, at in seen_at.items() if at > since)
--- a/src/dykemast/_internal/serving/knowledge/backends.py
+++ b/src/dykemast/_internal/serving/knowledge/backends.py
@@ -8,7 +8,7 @@
 from dykemast._internal.platform.servers import SERVER_KIND
 from dykemast._internal.serving.knowledge.server_versions import (
     list_of_version,
-    record_version,
+    record_change,
 )
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.clock import read_clock
@@ -86,12 +86,15 @@
     :param allowed_regions: regions that the request may be sent to; each
         set applies.
     :param version: version of the servers; None for any.
-    :returns: usable servers in these regions, without evacuated halls.
+    :returns: usable servers in these regions, without evacuated halls; if no
+        server of the version is usable, those of it that are leaving and still
+        serve.
     """
     regions = board.settings.regions
-    usable = list_usable(board, service)
-    if version is not None:
-        usable = list_of_version(board, usable, version)
+    if version is None:
+        usable = list_usable(board, service)
+    else:
+        usable = list_of_version(board, service, version)
     return [
         server
         for server in usable
@@ -116,7 +119,7 @@
         board.origins.forget_server(earlier.name)
         remove_server(board, earlier.name)
     before = board.servers.get(server.name)
-    record_version(board, server, before)
+    record_change(board, server, before)
     board.servers[server.name] = server
     board.server_starts[server.server_id] = server
     board.expired_until.pop(server.name, None)
@@ -162,6 +165,7 @@
     """
     board.expired_until.pop(name, None)
     board.cold_until.pop(name, None)
+    board.serving_until.pop(name, None)
     board.backpressure.last.pop(name, None)
     removed = board.servers.pop(name, None)
     if removed:
--- a/src/dykemast/_internal/serving/knowledge/origin_search.py
+++ b/src/dykemast/_internal/serving/knowledge/origin_search.py
@@ -1,4 +1,4 @@
-"""Search for where a stream began that its caller takes up."""
+"""Where streams began that callers take up, and may have begun."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -28,6 +28,39 @@
 SECOND_SEARCH_S: Final = 0.5
 
 
+def list_origins(board: ServingBoard, services: list[str]) -> list[Origin]:
+    """List where a stream of some services may have begun.
+
+    :param board: shared state of the router.
+    :param services: the services of its route.
+    :returns: each service with each of its versions.
+    """
+    return [
+        Origin(service, version)
+        for service in services
+        for version in server_versions.list_versions(board, service)
+    ]
+
+
+def has_several_origins(board: ServingBoard) -> bool:
+    """Tell whether any stream may have begun at one of several versions.
+
+    :param board: shared state of the router.
+    :returns: whether it may; also True while the versions before the start of
+        this process are not known.
+    """
+    routes = board.table.routes.values() if board.table else ()
+    shares = {
+        tuple(share.service for share in route.shares)
+        for route in routes
+        if route.resumable
+    }
+    ambiguous = any(
+        len(list_origins(board, list(services))) > 1 for services in shares
+    )
+    return ambiguous or not board.versions.is_complete
+
+
 class OriginSearch:
     """Search of the store for where streams began.
 
@@ -66,14 +99,14 @@
     def _has_several(self, services: list[str]) -> bool:
         if not self._board.versions.is_complete:
             return True
-        return len(server_versions.list_origins(self._board, services)) > 1
+        return len(list_origins(self._board, services)) > 1
 
     async def _find_only(self, services: list[str]) -> Origin | None:
         """Find the only origin there may be, by the current list of servers."""
         if not await self._servers.read() and _is_apart(self._board):
             # Other routers may know servers of further versions.
             return None
-        origins = server_versions.list_origins(self._board, services)
+        origins = list_origins(self._board, services)
         return origins[0] if len(origins) == 1 else None
 
     async def _find_stored(self, key: str) -> Origin | None:
--- a/src/dykemast/_internal/serving/knowledge/server_versions.py
+++ b/src/dykemast/_internal/serving/knowledge/server_versions.py
@@ -4,29 +4,50 @@
 the version that began it.
 """
 
-from collections.abc import Iterable
+from typing import Final
 
 from dykemast._internal.models.backend import BackendServer
-from dykemast._internal.operations.stream_origins import Origin
+from dykemast._internal.platform.servers import SERVER_KIND
+from dykemast._internal.serving.knowledge.cache_freshness import SEND_TIME_S
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.clock import read_clock
 
+#: Least time for which callers may take up a stream; a router's list of servers
+#: may be some seconds old.
+MIN_STREAM_TIME_S: Final = 60.0
+#: The same in timeouts of its route.
+TIMEOUTS: Final = 2
+
 
 def list_of_version(
-    board: ServingBoard, servers: Iterable[BackendServer], version: str
+    board: ServingBoard, service: str, version: str
 ) -> list[BackendServer]:
-    """List the servers that certainly run a version.
+    """List the servers at which a stream of a version may go on.
 
     :param board: the blackboard.
-    :param servers: servers of one service.
+    :param service: the service.
     :param version: the version.
-    :returns: those of them whose entry tells it.
+    :returns: servers that certainly run it and accept new requests; if there
+        are none, those that are leaving and still serve.
     """
-    return [
+    found = [
         server
-        for server in servers
-        if server.version == version and is_version_certain(board, server)
+        for server in board.servers.values()
+        if (server.service, server.version) == (service, version)
+        and is_version_certain(board, server)
     ]
+    usable = [one for one in found if one.name not in board.leaving]
+    return usable or [one for one in found if is_still_serving(board, one.name)]
+
+
+def is_still_serving(board: ServingBoard, name: str) -> bool:
+    """Tell whether a server that is leaving may get what cannot go elsewhere.
+
+    :param board: the blackboard.
+    :param name: name of its incarnation.
+    :returns: whether it may.
+    """
+    return read_clock() < board.serving_until.get(name, 0)
 
 
 def is_version_certain(board: ServingBoard, server: BackendServer) -> bool:
@@ -48,29 +69,31 @@
     return listed.version == server.version
 
 
-def record_version(
+def record_change(
     board: ServingBoard, server: BackendServer, before: BackendServer | None
 ) -> None:
-    """Record the version of a server that is listed.
+    """Record the version of a listed server, and how long it still serves.
 
-    :param board: shared state of the router.
+    :param board: the blackboard.
     :param server: the server.
     :param before: the same incarnation as it was listed before; None if it was
         not.
     """
     if before and before.version != server.version:
         board.origins.forget_server(server.name)
+    if before and server.leaving and not before.leaving:
+        _record_leaving(board, server)
     board.versions.record(server.service, [server.version], read_clock())
 
 
-def record_listed(board: ServingBoard) -> None:
-    """Record that the versions of all listed servers are in use now.
-
-    :param board: shared state of the router.
-    """
-    now = read_clock()
-    for server in board.servers.values():
-        board.versions.record(server.service, [server.version], now)
+def _record_leaving(board: ServingBoard, server: BackendServer) -> None:
+    # One that announced it in an answer, to any router, gets nothing more.
+    if server.name not in board.leaving:
+        # The last moment at which its entry did not say so yet.
+        current_at = board.last_read_at.get(SERVER_KIND, 0)
+        board.serving_until[server.name] = (
+            current_at + board.settings.bounds.leave_time - SEND_TIME_S
+        )
 
 
 def list_versions(board: ServingBoard, service: str) -> list[str]:
@@ -80,37 +103,16 @@
     :param service: the service.
     :returns: the versions, sorted.
     """
-    return board.versions.list_versions(service, read_clock())
-
-
-def list_origins(board: ServingBoard, services: list[str]) -> list[Origin]:
-    """List where a stream of some services may have begun.
-
-    :param board: shared state of the router.
-    :param services: the services of its route.
-    :returns: each service with each of its versions.
-    """
-    return [
-        Origin(service, version)
-        for service in services
-        for version in list_versions(board, service)
-    ]
+    since = read_clock() - compute_stream_time(board)
+    return board.versions.list_versions(service, since)
 
 
-def has_several_origins(board: ServingBoard) -> bool:
-    """Tell whether any stream may have begun at one of several versions.
+def compute_stream_time(board: ServingBoard) -> float:
+    """Compute for how long callers may take up a stream.
 
     :param board: shared state of the router.
-    :returns: whether it may; also True while the versions before the start of
-        this process are not known.
+    :returns: seconds from its beginning, with a margin.
     """
     routes = board.table.routes.values() if board.table else ()
-    shares = {
-        tuple(share.service for share in route.shares)
-        for route in routes
-        if route.resumable
-    }
-    ambiguous = any(
-        len(list_origins(board, list(services))) > 1 for services in shares
-    )
-    return ambiguous or not board.versions.is_complete
+    timeouts = [route.timeout for route in routes if route.resumable]
+    return max([MIN_STREAM_TIME_S, *(TIMEOUTS * one for one in timeouts)])
--- a/src/dykemast/_internal/serving/knowledge/stream_records.py
+++ b/src/dykemast/_internal/serving/knowledge/stream_records.py
@@ -15,6 +15,9 @@
 )
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.platform.store_types import StoreObject
+from dykemast._internal.serving.knowledge.server_versions import (
+    compute_stream_time,
+)
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.clock import read_clock
 from dykemast._internal.utils.events import make_logger
@@ -39,7 +42,17 @@
     """
     listing = await store.list_kind(STREAM_KIND)
     for found in listing.found:
-        board.origins.merge(decode_streams(found), read_clock())
+        merge_records(board, decode_streams(found))
+
+
+def merge_records(board: ServingBoard, records: list[StreamRecord]) -> None:
+    """Record the origins that another process knows.
+
+    :param board: shared state of the router.
+    :param records: the origins.
+    """
+    until = read_clock() + compute_stream_time(board)
+    board.origins.merge(records, until)
 
 
 def apply_records(board: ServingBoard, body: bytes) -> int:
@@ -54,7 +67,7 @@
     except InvalidDataError as error:
         _log('streams_not_usable', name='peer', reason=str(error))
         return 0
-    board.origins.merge(records, read_clock())
+    merge_records(board, records)
     return len(records)
 
 
--- a/src/dykemast/_internal/serving/knowledge/stream_writes.py
+++ b/src/dykemast/_internal/serving/knowledge/stream_writes.py
@@ -13,7 +13,7 @@
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.serving.knowledge import stream_records, watches
-from dykemast._internal.serving.knowledge.server_versions import (
+from dykemast._internal.serving.knowledge.origin_search import (
     has_several_origins,
 )
 from dykemast._internal.serving.state.board import ServingBoard
@@ -95,9 +95,8 @@
         except VersionConflictError as conflict:
             # The previous process on this instance, or a late write of it.
             self._stored = conflict.current
-            self._board.origins.merge(
-                stream_records.decode_streams(conflict.current), read_clock()
-            )
+            records = stream_records.decode_streams(conflict.current)
+            stream_records.merge_records(self._board, records)
         except PlatformError as error:
             _log('streams_not_written', reason=str(error), streams=len(records))
             self._stored = written._replace(revision=0)
--- a/src/dykemast/_internal/serving/knowledge/version_records.py
+++ b/src/dykemast/_internal/serving/knowledge/version_records.py
@@ -17,7 +17,7 @@
 from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.serving.knowledge.server_versions import (
     list_versions,
-    record_listed,
+    record_change,
 )
 from dykemast._internal.serving.state.board import ServingBoard, list_live_peers
 from dykemast._internal.utils.clock import read_clock
@@ -51,7 +51,8 @@
     changed_at: dict[str, float] = {}
     while True:
         await asyncio.sleep(CHECK_INTERVAL_S)
-        record_listed(board)
+        for server in board.servers.values():
+            record_change(board, server, server)
         if not board.versions.is_complete:
             await _try_read(board, store, stored)
         for service in _list_changed(board, stored, changed_at):
--- a/src/dykemast/_internal/serving/relay/resumptions.py
+++ b/src/dykemast/_internal/serving/relay/resumptions.py
@@ -7,9 +7,11 @@
 )
 from dykemast._internal.serving.knowledge.server_versions import (
     is_version_certain,
+)
+from dykemast._internal.serving.knowledge.origin_search import (
+    OriginSearch,
     list_origins,
 )
-from dykemast._internal.serving.knowledge.origin_search import OriginSearch
 from dykemast._internal.serving.relay.exchange import Exchange
 from dykemast._internal.serving.requests.admitted_request import AdmittedRequest
 from dykemast._internal.serving.requests.refusals import (
--- a/src/dykemast/_internal/serving/sending/send_checks.py
+++ b/src/dykemast/_internal/serving/sending/send_checks.py
@@ -8,6 +8,9 @@
 from dykemast._internal.operations.server_limits import KnownLimit
 from dykemast._internal.operations.shared_rate_limiter import SharedRateLimiter
 from dykemast._internal.serving.knowledge.cold_servers import is_cold
+from dykemast._internal.serving.knowledge.server_versions import (
+    is_still_serving,
+)
 from dykemast._internal.serving.sending.upstream_request import UpstreamRequest
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.state.loads import Loads, compute_load
@@ -113,9 +116,10 @@
         set a limit since it was chosen.
     """
     name = outgoing.server.name
-    if name in board.leaving or board.backpressure.delisted.find(
+    is_leaving = name in board.leaving or board.backpressure.delisted.find(
         outgoing.server.server_id
-    ):
+    )
+    if is_leaving and not _may_go_on(board, outgoing):
         raise BackpressureError(f'server {name} is leaving')
     if board.backpressure.get_backoff(name, read_clock()):
         raise BackpressureError(f'server {name} requested a backoff')
@@ -124,6 +128,12 @@
         raise BackpressureError(f'server {name} set a limit of {limit.rate}/s')
 
 
+def _may_go_on(board: ServingBoard, outgoing: UpstreamRequest) -> bool:
+    """Check whether a stream may go on at a server that is leaving."""
+    still_serving = is_still_serving(board, outgoing.server.name)
+    return still_serving and outgoing.resumes_stream()
+
+
 def _find_rate(
     board: ServingBoard,
     name: str,
--- a/src/dykemast/_internal/serving/sending/upstream_request.py
+++ b/src/dykemast/_internal/serving/sending/upstream_request.py
@@ -47,6 +47,13 @@
         """
         return self._replace(added=self.added._replace(last_event_id=event))
 
+    def resumes_stream(self) -> bool:
+        """Tell whether the request resumes a stream.
+
+        :returns: whether it does.
+        """
+        return bool(self.added.last_event_id or self.request.last_event_id)
+
 
 #: Raises if a request must not be sent any more.
 CheckSend = Callable[[UpstreamRequest], None]
--- a/src/dykemast/_internal/serving/state/board.py
+++ b/src/dykemast/_internal/serving/state/board.py
@@ -93,6 +93,8 @@
         ``serving.backends``.
     :param leaving: incarnations of servers that are leaving; a name is removed
         only with its server; ``serving.backends``.
+    :param serving_until: seconds until which a server that is leaving may get
+        requests that can go nowhere else, by name; ``serving.backends``.
     :param cold_until: seconds until which a server counts as cold, by name;
         ``serving.cold_servers``.
     :param backpressure: backpressure of servers; ``serving.backpressure``,
@@ -153,6 +155,7 @@
     server_state: ListState = ListState()
     expired_until: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving: set[str] = dataclasses.field(default_factory=set)
+    serving_until: dict[str, float] = dataclasses.field(default_factory=dict)
     cold_until: dict[str, float] = dataclasses.field(default_factory=dict)
     backpressure: backpressure_state.BackpressureState = dataclasses.field(
         default_factory=backpressure_state.BackpressureState
--- a/tests/unit/test_origin_search.py
+++ b/tests/unit/test_origin_search.py
@@ -4,10 +4,12 @@
 from typing import Any
 
 from dykemast._internal.exceptions import PlatformUnavailableError
+from dykemast._internal.models.crashes import ServerCrash
 from dykemast._internal.operations.stream_origins import Origin, StreamRecord
 from dykemast._internal.platform.servers import SERVER_KIND
 from dykemast._internal.platform.store_types import Listing, StoreObject
 from dykemast._internal.serving.knowledge import (
+    backends,
     origin_search,
     server_entries,
     server_versions,
@@ -15,6 +17,7 @@
     updates,
 )
 from dykemast._internal.serving.state.board import ServingBoard
+from dykemast._internal.utils.clock import read_clock
 from tests.lib.serving_boards import make_board, make_boards
 from tests.lib.users_objects import make_server
 
@@ -145,3 +148,49 @@
     assert board.origins.find('a') is None
     assert not server_versions.is_version_certain(board, chosen)
     assert server_versions.is_version_certain(board, board.servers['engine-0'])
+
+
+def test_a_server_that_crashed_is_of_no_certain_version() -> None:
+    board = make_board()
+    read_servers(board, OLD_ENTRY)
+    server = board.servers['engine-0']
+    assert server_versions.is_version_certain(board, server)
+    crash = ServerCrash('engine-0', 0, (), 'llm')
+    board.crashes.crashes[server.name] = crash
+    assert not server_versions.is_version_certain(board, server)
+
+
+def list_names(board: ServingBoard, version: str) -> list[str]:
+    found = server_versions.list_of_version(board, 'llm', version)
+    return [server.name for server in found]
+
+
+def test_a_stream_may_go_on_at_a_leaving_server_while_it_serves() -> None:
+    board = make_board()
+    read_servers(board, OLD_ENTRY, NEW_ENTRY)
+    board.last_read_at[SERVER_KIND] = read_clock()
+    leaving = make_entry('engine-0', OLD.version, state='draining')
+    read_servers(board, leaving, NEW_ENTRY)
+    assert list_names(board, OLD.version) == ['engine-0']
+    assert not backends.list_allowed(board, 'llm', [])[1:]
+    board.serving_until['engine-0'] -= board.settings.bounds.leave_time
+    assert not list_names(board, OLD.version)
+
+
+def test_no_stream_goes_on_at_a_leaving_server_beside_others() -> None:
+    board = make_board()
+    other = make_entry('engine-2', OLD.version)
+    read_servers(board, OLD_ENTRY, other)
+    board.last_read_at[SERVER_KIND] = read_clock()
+    leaving = make_entry('engine-0', OLD.version, state='draining')
+    read_servers(board, leaving, other)
+    assert list_names(board, OLD.version) == ['engine-2']
+
+
+def test_a_server_that_said_that_it_leaves_gets_no_stream() -> None:
+    board = make_board()
+    read_servers(board, OLD_ENTRY)
+    board.last_read_at[SERVER_KIND] = read_clock()
+    backends.mark_leaving(board, ['engine-0'], 'answer')
+    read_servers(board, make_entry('engine-0', OLD.version, state='draining'))
+    assert not list_names(board, OLD.version)
