--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -11,6 +11,7 @@
 from tools.serving_mutations import SERVING_MUTATIONS
 from tools.soak_mutations import SOAK_MUTATIONS
 from tools.stop_mutations import STOP_MUTATIONS
+from tools.version_mutations import VERSION_MUTATIONS
 
 _INTERNAL: Final = 'dykemast/_internal'
 
@@ -78,6 +79,7 @@
     *LOAD_MUTATIONS,
     *HALL_MUTATIONS,
     *LINK_MUTATIONS,
+    *VERSION_MUTATIONS,
     *SOAK_MUTATIONS,
     Mutation(
         'grant more than is free',
--- /dev/null
+++ b/tools/version_mutations.py
@@ -0,0 +1,69 @@
+"""Rules on the versions of servers and streams, broken on purpose."""
+
+from typing import Final
+
+from tools.mutation import Mutation
+
+_INTERNAL: Final = 'dykemast/_internal'
+_KNOWLEDGE: Final = f'{_INTERNAL}/serving/knowledge'
+_ONE_VERSION: Final = 'a stream goes on at the version that began it'
+
+#: Mutations of these rules.
+VERSION_MUTATIONS: Final = (
+    Mutation(
+        'go on at any server inside one answer',
+        _ONE_VERSION,
+        f'{_INTERNAL}/serving/relay/event_streams.py',
+        'self._attempts.restrict(self._version.find())',
+        'self._version.find()',
+        'test_a_stream_whose_server_breaks_off',
+    ),
+    Mutation(
+        'let callers take streams up at any server',
+        _ONE_VERSION,
+        f'{_INTERNAL}/serving/relay/resumptions.py',
+        'server_version=origin.version,',
+        'server_version=None,',
+        'test_a_stream_taken_up_at_another_router',
+    ),
+    Mutation(
+        'store no streams',
+        'streams go on after a loss of all routers',
+        f'{_KNOWLEDGE}/stream_writes.py',
+        'await writer.write()',
+        'writer.is_behind()',
+        'test_streams_go_on_at_their_versions_after_a_loss',
+    ),
+    Mutation(
+        'forget which versions a service had before the start',
+        _ONE_VERSION,
+        f'{_KNOWLEDGE}/version_records.py',
+        'board.versions.record(found.name, versions, read_clock())',
+        'read_clock()',
+        'test_streams_do_not_go_on_at_a_version_that_replaces',
+    ),
+    Mutation(
+        'believe the entry of a server that crashed',
+        _ONE_VERSION,
+        f'{_KNOWLEDGE}/server_versions.py',
+        'if server.name in board.crashes.crashes:',
+        'if not server.name:',
+        'test_a_server_that_crashed_is_of_no_certain_version',
+    ),
+    Mutation(
+        'keep the version of streams whose server was replaced',
+        _ONE_VERSION,
+        f'{_INTERNAL}/operations/stream_origins.py',
+        'key for key, one in self._entries.items() if one.server == server',
+        'key for key, one in self._entries.items() if one.server is None',
+        'test_origin_search',
+    ),
+    Mutation(
+        'let a request of another workspace name a stream',
+        'a caller learns nothing of others',
+        f'{_INTERNAL}/operations/stream_origins.py',
+        'for text in (workspace, request_id):',
+        'for text in (request_id,):',
+        'test_stream_origins',
+    ),
+)
