--- a/src/dykemast/_internal/operations/stream_origins.py
+++ b/src/dykemast/_internal/operations/stream_origins.py
@@ -15,11 +15,25 @@
 #: Seconds for which a stream is kept after the deadline of its request, and
 #: after its end: the caller may not have received the last events.
 EXTRA_S: Final = 5.0
+#: Least time for which callers may take up a stream; a router's list of servers
+#: may be some seconds old.
+MIN_STREAM_TIME_S: Final = 60.0
+#: The same in timeouts of its route.
+TIMEOUTS: Final = 2
 #: With 2^72 values, no caller can find a request id whose key is that of
 #: another stream.
 KEY_BYTES: Final = 9
 
 
+def compute_stream_time(timeouts: Iterable[float]) -> float:
+    """Compute for how long callers may take up a stream.
+
+    :param timeouts: timeouts of the routes, in seconds.
+    :returns: seconds from its beginning, with a margin.
+    """
+    return max([MIN_STREAM_TIME_S, *(TIMEOUTS * one for one in timeouts)])
+
+
 class Origin(NamedTuple):
     """Where a stream began.
 
--- a/src/dykemast/_internal/serving/knowledge/configuration.py
+++ b/src/dykemast/_internal/serving/knowledge/configuration.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from dykemast._internal.exceptions import InvalidDataError
+from dykemast._internal.operations.stream_origins import compute_stream_time
 from dykemast._internal.platform.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -67,6 +68,9 @@
     if table.version <= before:
         return
     board.table = table
+    board.stream_time_s = compute_stream_time(
+        route.timeout for route in table.routes.values() if route.resumable
+    )
     board.table_changed.set()
     board.encoded_table = pack(stored)
     _log(
--- a/src/dykemast/_internal/serving/knowledge/server_versions.py
+++ b/src/dykemast/_internal/serving/knowledge/server_versions.py
@@ -4,20 +4,12 @@
 the version that began it.
 """
 
-from typing import Final
-
 from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.platform.servers import SERVER_KIND
 from dykemast._internal.serving.knowledge.cache_freshness import SEND_TIME_S
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.clock import read_clock
 
-#: Least time for which callers may take up a stream; a router's list of servers
-#: may be some seconds old.
-MIN_STREAM_TIME_S: Final = 60.0
-#: The same in timeouts of its route.
-TIMEOUTS: Final = 2
-
 
 def list_of_version(
     board: ServingBoard, service: str, version: str
@@ -103,16 +95,5 @@
     :param service: the service.
     :returns: the versions, sorted.
     """
-    since = read_clock() - compute_stream_time(board)
+    since = read_clock() - board.stream_time_s
     return board.versions.list_versions(service, since)
-
-
-def compute_stream_time(board: ServingBoard) -> float:
-    """Compute for how long callers may take up a stream.
-
-    :param board: shared state of the router.
-    :returns: seconds from its beginning, with a margin.
-    """
-    routes = board.table.routes.values() if board.table else ()
-    timeouts = [route.timeout for route in routes if route.resumable]
-    return max([MIN_STREAM_TIME_S, *(TIMEOUTS * one for one in timeouts)])
--- a/src/dykemast/_internal/serving/knowledge/stream_records.py
+++ b/src/dykemast/_internal/serving/knowledge/stream_records.py
@@ -15,9 +15,6 @@
 )
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.platform.store_types import StoreObject
-from dykemast._internal.serving.knowledge.server_versions import (
-    compute_stream_time,
-)
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.utils.clock import read_clock
 from dykemast._internal.utils.events import make_logger
@@ -51,8 +48,7 @@
     :param board: shared state of the router.
     :param records: the origins.
     """
-    until = read_clock() + compute_stream_time(board)
-    board.origins.merge(records, until)
+    board.origins.merge(records, read_clock() + board.stream_time_s)
 
 
 def apply_records(board: ServingBoard, body: bytes) -> int:
--- a/src/dykemast/_internal/serving/state/board.py
+++ b/src/dykemast/_internal/serving/state/board.py
@@ -20,6 +20,7 @@
 )
 from dykemast._internal.operations.server_links import ServerLinks
 from dykemast._internal.operations.stream_origins import (
+    MIN_STREAM_TIME_S,
     StreamOrigins,
     VersionHistory,
 )
@@ -127,6 +128,8 @@
         ``serving.quarantine``.
     :param origins: at which version streams began; ``serving.event_streams``
         and ``serving.stream_records``.
+    :param stream_time_s: seconds for which callers may take up a stream;
+        ``serving.configuration``.
     :param versions: versions that services have or had; ``serving.backends``
         and ``serving.version_records``.
     :param links: links to backend servers; ``serving.server_paths``.
@@ -192,6 +195,7 @@
     quarantined: set[str] = dataclasses.field(default_factory=set)
     trials: set[str] = dataclasses.field(default_factory=set)
     origins: StreamOrigins = dataclasses.field(default_factory=StreamOrigins)
+    stream_time_s: float = MIN_STREAM_TIME_S
     versions: VersionHistory = dataclasses.field(default_factory=VersionHistory)
     links: ServerLinks = dataclasses.field(default_factory=ServerLinks)
     tunnels: int = 0
--- a/tests/unit/test_stream_origins.py
+++ b/tests/unit/test_stream_origins.py
@@ -9,6 +9,7 @@
     StreamOrigins,
     StreamRecord,
     VersionHistory,
+    compute_stream_time,
     make_stream_key,
 )
 
@@ -74,3 +75,8 @@
     history.record('llm', ['v1.1'], now=50)
     assert history.list_versions('llm', since=-1) == ['v1', 'v1.1']
     assert history.list_versions('llm', since=1) == ['v1.1']
+
+
+def test_versions_count_for_longer_where_streams_take_longer() -> None:
+    assert compute_stream_time([]) == compute_stream_time([15, 3])
+    assert compute_stream_time([15, 300]) > 300
