Soak: count what replaced servers saw, and excuse cuts by a tunnel's router

The check knew neither: what a replaced server saw ended with its process, and the router that carried the connection was not asked for. Runs and arrivals of replaced servers count now, for spending, repeats and idle work too, and a kill or freeze of a router that carried the request excuses a cut as that of its own router does.

--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -52,9 +52,9 @@
     if used > one.time_left * TIME_USED and one.end != LATE:
         return True
     since = one.at - CONTACT
-    if find_overlap(
-        witness.events, ROUTER_FAULTS, {one.router}, since, one.ended
-    ):
+    # A router that carries the connection to the server ends it as well.
+    routers = {one.router, *witness.tunnels.get(one.request_id, ())}
+    if find_overlap(witness.events, ROUTER_FAULTS, routers, since, one.ended):
         return True
     if one.end == LATE:
         return False
--- a/tests/soak/probes.py
+++ b/tests/soak/probes.py
@@ -14,9 +14,22 @@
         told = world.deployment.control(name)
         runs[name] = told['runs']
         arrivals[name] = told['arrivals']
+    for name, told in world.ended_servers:
+        runs[name] += told['runs']
+        arrivals[name] += told['arrivals']
     return runs, arrivals
 
 
+def read_tunnels(world: World) -> dict[str, set[str]]:
+    """Read through which other routers requests were sent."""
+    tunnels: dict[str, set[str]] = {}
+    for router in world.deployment.names:
+        for event in world.deployment.read_events(router):
+            if event['event'] == 'tunnel_used':
+                tunnels.setdefault(event['request'], set()).add(event['peer'])
+    return tunnels
+
+
 def list_takers(world: World) -> set[str]:
     """List the routers that answer a request on a new connection."""
     return {name for name in world.deployment.names if _ask(world, name)}
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,7 +15,12 @@
     FIRST_WITH_VERSIONS,
     make_plan,
 )
-from tests.soak.probes import list_takers, read_servers, wait_served
+from tests.soak.probes import (
+    list_takers,
+    read_servers,
+    read_tunnels,
+    wait_served,
+)
 from tests.soak.promises import find_broken
 from tests.soak.reports import keep_logs, summarize
 from tests.soak.returns import RETURN_TIME
@@ -91,6 +96,7 @@
         takers,
         set(world.deployment.names),
         time.monotonic(),
+        read_tunnels(world),
     )
 
 
--- a/tests/soak/seen.py
+++ b/tests/soak/seen.py
@@ -65,6 +65,7 @@
     :param takers: routers that answered a new connection at the end.
     :param routers: all of them.
     :param judged_at: moment at which servers were asked.
+    :param tunnels: routers through which a request was sent, by its id.
     """
 
     seen: list[Seen]
@@ -77,3 +78,4 @@
     takers: set[str]
     routers: set[str]
     judged_at: float
+    tunnels: dict[str, set[str]]
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -2,8 +2,9 @@
 
 import random
 import re
+import time
 from collections.abc import Iterable, Iterator
-from types import MappingProxyType
+from typing import Any
 
 from tests.lib.deployment import Deployment
 from tests.lib.users_objects import make_next_start
@@ -17,18 +18,16 @@
 ENGINES = 6
 OLD, NEW = 'v1', 'v1.1'
 #: Versions at the start. Two servers of each keep theirs.
-VERSIONS = MappingProxyType(
-    {
-        'engine-0': OLD,
-        'engine-1': OLD,
-        'engine-2': OLD,
-        'engine-3': NEW,
-        'engine-4': NEW,
-        'engine-5': NEW,
-    }
+VERSIONS = (
+    ('engine-0', OLD),
+    ('engine-1', OLD),
+    ('engine-2', OLD),
+    ('engine-3', NEW),
+    ('engine-4', NEW),
+    ('engine-5', NEW),
 )
 RELEASED = ('engine-2', 'engine-5')
-KEPT = tuple(name for name in VERSIONS if name not in RELEASED)
+KEPT = tuple(name for name, _ in VERSIONS if name not in RELEASED)
 MOST_RELEASES = 3
 BESIDE = ('kill', 'kill', 'kill_all', 'store', 'freeze', 'stop', 'server')
 #: Streams that may hold events of two versions.
@@ -81,11 +80,18 @@
     return Fault(chance.uniform(0.5, last), kind, target, how, lasts)
 
 
-def stop_server(deployment: Deployment, server: str) -> None:
-    """End a server; its next start is of the other version."""
+def stop_server(deployment: Deployment, server: str) -> dict[str, Any]:
+    """End a server; its next start is of the other version.
+
+    :returns: what it saw, which ends with its process.
+    """
     before = deployment.versions[server]
     deployment.versions[server] = NEW if before == OLD else OLD
+    told = deployment.control(server)
     deployment.processes.kill(server)
+    for run in told['runs']:
+        run['ended'] = run['ended'] or time.monotonic()
+    return told
 
 
 def start_server(deployment: Deployment, server: str, end: End) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -38,6 +38,8 @@
         self.deployment = Deployment(size.routers, size.engines)
         self.most_prepaid = prepaid
         self.left_at: dict[str, float] = {}
+        #: What servers saw that were replaced, by name.
+        self.ended_servers: list[tuple[str, Fields]] = []
         #: What the configuration says of the engines' service besides.
         self.engine_service: Fields = {}
         self.history = History()
@@ -199,7 +201,8 @@
     def _release(self, fault: Fault) -> None:
         """Replace a server by one of another version."""
         end = self.history.begin('server', fault.target)
-        versions.stop_server(self.deployment, fault.target)
+        told = versions.stop_server(self.deployment, fault.target)
+        self.ended_servers.append((fault.target, told))
         self._later(
             fault.lasts,
             versions.start_server,
--- a/tests/unit/test_soak_promises.py
+++ b/tests/unit/test_soak_promises.py
@@ -44,6 +44,7 @@
         takers={ROUTER},
         routers={ROUTER},
         judged_at=60,
+        tunnels={},
     )
     return list(find_broken(witness._replace(**fields)))
 
@@ -286,3 +287,51 @@
     more = Event('ended', PLAIN, 20, 20)
     storm = judge(make_seen(), events=[*ends, *late, more])
     assert storm == ['4 servers ended long after the third, 7 in all']
+
+
+def test_a_cut_answer_is_excused_by_the_end_of_the_router_that_carried_it() -> (
+    None
+):
+    cut = make_seen(CUT, at=30, ended=31)
+    kill = Event('kill', 'node-2', 30.9, 33)
+    assert judge(cut, events=[kill])
+    assert not judge(cut, events=[kill], tunnels={'a': {'node-2'}})
+    assert judge(cut, events=[kill], tunnels={'a': {'node-3'}})
+
+
+def make_stream(number: int, versions: str, **fields: Any) -> Seen:
+    body = ''.join(
+        f'id: {nth}\ndata: engine {version}\n\n'
+        for nth, version in enumerate(versions, start=1)
+    )
+    return make_seen(
+        path='/stream/1',
+        request_id=f's{number}',
+        body=body.encode(),
+        events=len(versions),
+        at=30,
+        ended=31,
+        **fields,
+    )
+
+
+def test_streams_of_two_versions_are_found() -> None:
+    whole = [make_stream(number, 'xx') for number in range(3)]
+    mixed = [make_stream(number, 'xy') for number in range(3)]
+    assert not judge(*whole, *mixed[:2])
+    assert len(judge(*whole, *mixed)) == 1
+
+
+def test_streams_that_are_taken_up_and_do_not_go_on_are_found() -> None:
+    new = [make_stream(number, 'x') for number in range(20)]
+    resumed = [
+        make_seen(
+            status=503, path='/stream/1', request_id=f'r{number}', resumes='s1'
+        )
+        for number in range(20)
+    ]
+    apart = [one._replace(at=11, ended=11.1) for one in resumed]
+    late = [one._replace(at=40, ended=40.1) for one in resumed]
+    assert len(judge(*new, *late)) == 1
+    assert not judge(*new, *late[:11])
+    assert not judge(*new, *apart)
