Refuse a stream of unknown version at once while the store is away

A caller who takes up a stream that its router does not know waited for a read of the store, up to 2 s while it is silent, for 0.5 s, and for a second read, before it was refused; found by reading. The search ends with the first failed read, and makes none while the store is known not to answer. Versions that no longer count are dropped, so that a server that tells a new one at each heartbeat fills no memory. The new test counts the reads; two before.

--- a/src/dykemast/_internal/operations/stream_origins.py
+++ b/src/dykemast/_internal/operations/stream_origins.py
@@ -200,11 +200,14 @@
         return list(self._seen_at)
 
     def list_versions(self, service: str, since: float) -> list[str]:
-        """List the versions that a service has or had lately.
+        """List the versions that a service has or had lately, and drop others.
 
         :param service: the service.
         :param since: seconds on the monotonic clock.
         :returns: the versions that were listed after that, sorted.
         """
         seen_at = self._seen_at.get(service, {})
-        return sorted(one for one, at in seen_at.items() if at > since)
+        expired = [one for one in seen_at if seen_at[one] <= since]
+        for version in expired:
+            seen_at.pop(version)
+        return sorted(seen_at)
--- a/src/dykemast/_internal/serving/knowledge/origin_search.py
+++ b/src/dykemast/_internal/serving/knowledge/origin_search.py
@@ -103,7 +103,7 @@
 
     async def _find_only(self, services: list[str]) -> Origin | None:
         """Find the only origin there may be, by the current list of servers."""
-        if not await self._servers.read() and _is_apart(self._board):
+        if not await self._read(self._servers) and _is_apart(self._board):
             # Other routers may know servers of further versions.
             return None
         origins = list_origins(self._board, services)
@@ -112,12 +112,19 @@
     async def _find_stored(self, key: str) -> Origin | None:
         for pause in (0, SECOND_SEARCH_S):
             await asyncio.sleep(pause)
-            await self._streams.read()
+            if not await self._read(self._streams):
+                # The caller is refused at once, and may find it elsewhere.
+                return None
             origin = self._board.origins.find(key)
             if origin:
                 return origin
         return None
 
+    async def _read(self, shared_read: '_SharedRead') -> bool:
+        if self._board.store_unavailable_since:
+            return False
+        return await shared_read.read()
+
 
 class _SharedRead:
     """A read that serves all who asked before it began.
--- a/tests/unit/test_origin_search.py
+++ b/tests/unit/test_origin_search.py
@@ -194,3 +194,14 @@
     backends.mark_leaving(board, ['engine-0'], 'answer')
     read_servers(board, make_entry('engine-0', OLD.version, state='draining'))
     assert not list_names(board, OLD.version)
+
+
+def test_nobody_waits_for_a_store_that_does_not_answer() -> None:
+    board = make_board()
+    read_servers(board, OLD_ENTRY, NEW_ENTRY)
+    store = Store()
+    store.away = True
+    for since in (0, read_clock()):
+        board.store_unavailable_since = since
+        assert find(board, store)[0] is None
+        assert len(store.listed) == 1
