--- a/src/dykemast/_internal/operations/stream_origins.py
+++ b/src/dykemast/_internal/operations/stream_origins.py
@@ -137,7 +137,7 @@
         """Forget the streams that a server writes.
 
         Its entry changed while they run, so that their version is not known:
-        the process that writes them may have started before the entry told.
+        the process that writes them may have started before the entry changed.
 
         :param server: incarnation of the server.
         """
--- a/src/dykemast/_internal/platform/request_headers.py
+++ b/src/dykemast/_internal/platform/request_headers.py
@@ -62,7 +62,7 @@
         output_tokens=tokens.output,
         prompt=decode_prompt(fields.get(names.PROMPT)),
         last_event_id=fields.get(names.LAST_EVENT, ''),
-        resumes=fields.get(names.RESUMES, ''),
+        first_request_id=fields.get(names.RESUMES, ''),
     )
 
 
--- a/src/dykemast/_internal/platform/servers.py
+++ b/src/dykemast/_internal/platform/servers.py
@@ -92,13 +92,13 @@
     return min(MAX_COLD_S, msgspec.convert(milliseconds, _Milliseconds) / _MS)
 
 
-def _decode_version(told: Any) -> str:
-    """Decode a version; one that is no short text is still told apart."""
-    if told is None:
+def _decode_version(raw: Any) -> str:
+    """Decode a version; one that is no short text becomes its digest."""
+    if raw is None:
         return ''
-    text = told
-    if not isinstance(told, str):
-        text = msgspec.json.encode(told).decode()
+    text = raw
+    if not isinstance(raw, str):
+        text = msgspec.json.encode(raw).decode()
     if len(text) <= _MAX_TEXT_CHARS:
         return text
     return hashlib.blake2b(text.encode(errors='replace')).hexdigest()
--- a/src/dykemast/_internal/serving/admission/admission.py
+++ b/src/dykemast/_internal/serving/admission/admission.py
@@ -74,7 +74,7 @@
     """Remove what resumes a stream, unless those of the route are resumable."""
     if route.resumable:
         return request
-    return request._replace(last_event_id='', resumes='')
+    return request._replace(last_event_id='', first_request_id='')
 
 
 def _compute_timeout(request: CallerRequest, route: Route) -> float:
--- a/src/dykemast/_internal/serving/members/gossip_partners.py
+++ b/src/dykemast/_internal/serving/members/gossip_partners.py
@@ -53,7 +53,7 @@
 
 
 def draw_copies(board: ServingBoard) -> list[Peer]:
-    """Draw live peers that keep a copy of what the store cannot be told.
+    """Draw live peers that keep copies of records while the store is away.
 
     :param board: the blackboard.
     :returns: the peers: all of them in a small fleet.
--- a/src/dykemast/_internal/serving/process/request_records.py
+++ b/src/dykemast/_internal/serving/process/request_records.py
@@ -43,7 +43,10 @@
     workspace = admitted.workspace
     resumed = {}
     if request.last_event_id:
-        resumed = {'resumes': request.resumes, 'after': request.last_event_id}
+        resumed = {
+            'first_request': request.first_request_id,
+            'after': request.last_event_id,
+        }
     _log(
         'admitted',
         request=request.request_id,
--- a/src/dykemast/_internal/serving/relay/resumptions.py
+++ b/src/dykemast/_internal/serving/relay/resumptions.py
@@ -81,33 +81,35 @@
     :raises RefusedError: when the version is not known, or no longer allowed.
     """
     request = exchange.admitted.request
-    if not (request.last_event_id or request.resumes):
+    if not (request.last_event_id or request.first_request_id):
         return exchange
-    key = _find_stream_key(exchange.admitted) if request.resumes else ''
+    key = (
+        _find_stream_key(exchange.admitted) if request.first_request_id else ''
+    )
     services = [share.service for share in exchange.admitted.route.shares]
     origin, how = await search.find(key, services)
     _log(
         'stream_taken_up',
         request=request.request_id,
-        resumes=request.resumes,
+        first_request=request.first_request_id,
         version=origin.version if origin else None,
         known_by=how,
     )
     if origin is None:
         if not request.last_event_id:
-            return _begin_anew(exchange)
+            return _begin_new_stream(exchange)
         raise _refuse_unknown(exchange)
     return _restrict(exchange, origin, key, services)
 
 
-def _begin_anew(exchange: Exchange) -> Exchange:
+def _begin_new_stream(exchange: Exchange) -> Exchange:
     """Take a request for the first one of its stream.
 
     Its caller has no event, so that any version may begin the stream, and names
     this request when it takes the stream up.
     """
     admitted = exchange.admitted
-    request = admitted.request._replace(resumes='')
+    request = admitted.request._replace(first_request_id='')
     return exchange._replace(admitted=admitted._replace(request=request))
 
 
@@ -119,7 +121,9 @@
     """
     workspace = admitted.workspace.name if admitted.workspace else ''
     request = admitted.request
-    return make_stream_key(workspace, request.resumes or request.request_id)
+    return make_stream_key(
+        workspace, request.first_request_id or request.request_id
+    )
 
 
 def _restrict(
@@ -148,7 +152,7 @@
     return RefusedError(
         RefusalCode.version_unknown,
         {
-            'resumes': admitted.request.resumes,
+            'first_request': admitted.request.first_request_id,
             'versions': sorted({one.version for one in origins}),
             'history_read': board.versions.is_complete,
         },
