--- a/tests/functional/test_partitioned_routers.py
+++ b/tests/functional/test_partitioned_routers.py
@@ -68,7 +68,10 @@
     asked: list[Asked], ask: Callable[[Deployment, str], Reply]
 ) -> None:
     outcomes = Counter((one.reply.status, one.reply.whole) for one in asked)
-    assert set(outcomes) == {(200, True)}, (ask.__name__, outcomes)
+    refusals = Counter(
+        one.reply.body for one in asked if one.reply.status != 200
+    )
+    assert set(outcomes) == {(200, True)}, (ask.__name__, outcomes, refusals)
 
 
 def check_partitioned(mode: str, *routers: str) -> Deployment:
