Return a request to a server whose link broke where no other may take it

Cause: the first connection breaks with the link of the router, the second, a tunnel, with the link of the peer some 10 ms later. Both servers are up, but the route allows two servers, and a server that was tried was never chosen again. Requests that are alike were also taken for a crashing request after two broken sends.

Evidence: the lines of such a stream: send to engine-0, response truncated, tunnel through node-1, no response, refused 1 ms later; node-1 logs that its own links are lost after that.

Ruled out: the retry budget (its line is new: retry_not_allowed); the wait of 50 ms on new connections (the peer's link still worked then).

Change: when no other server may get the request, or there is none, it waits up to 0.5 s for the check that follows each broken connection. A server that the check found up, while the link of this router or the peer is to blame, may get the request again. Crashes are kept apart: a server that is not found up after the break gets nothing. The users' count of servers and the budget of retries hold as before.

--- a/src/dykemast/_internal/operations/broken_sends.py
+++ b/src/dykemast/_internal/operations/broken_sends.py
@@ -48,6 +48,9 @@
     def __init__(self) -> None:
         """Start without any broken sends."""
         self._sends: dict[str, list[BrokenSend]] = {}
+        #: Time of the last check that found a server up after a broken send,
+        #: by incarnation name.
+        self.up_at: dict[str, float] = {}
         #: Time of the last crash of a server with broken sends, by service.
         self.ended_at: dict[str, float] = {}
         #: Set while there are broken sends or recent crashes of their servers.
@@ -102,7 +105,12 @@
             for service, at in self.ended_at.items()
             if now - at < SIMULTANEOUS_WINDOW_S
         }
-        if not self._sends and not self.ended_at:
+        self.up_at = {
+            server: at
+            for server, at in self.up_at.items()
+            if now - at < BROKEN_SEND_RETENTION_S
+        }
+        if not (self._sends or self.ended_at or self.up_at):
             self.pending.clear()
 
     def list_runs(self, request: str) -> list[CrashedRun]:
--- a/src/dykemast/_internal/serving/relay/attempts.py
+++ b/src/dykemast/_internal/serving/relay/attempts.py
@@ -1,20 +1,27 @@
 """Sends of a request, with retries where they are safe."""
 
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 from dykemast._internal.exceptions import UpstreamError
+from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.serving.choice.outcomes import get_retry_budget
 from dykemast._internal.serving.relay.exchange import Exchange
 from dykemast._internal.serving.relay.retries import (
     has_time_left,
     may_retry,
+    may_try_another,
     compute_retry_after,
+    spend_allowance,
 )
 from dykemast._internal.serving.relay.send_outcomes import (
     record_failure,
     record_success,
 )
-from dykemast._internal.serving.relay.server_search import find_server
+from dykemast._internal.serving.relay.server_search import (
+    find_server,
+    find_survivor,
+)
 from dykemast._internal.serving.relay.sends import Send, log_send
 from dykemast._internal.serving.requests.refusals import (
     RefusalCode,
@@ -26,6 +33,19 @@
 Prepare = Callable[[], Awaitable[None]]
 
 
+class _Failure(NamedTuple):
+    """A send that failed.
+
+    :param send: the send.
+    :param error: its error.
+    :param at: seconds on the monotonic clock.
+    """
+
+    send: Send
+    error: UpstreamError
+    at: float
+
+
 class Attempts:
     """The sends of one request.
 
@@ -44,7 +64,9 @@
         self._parts = exchange.parts
         self._admitted = exchange.admitted
         self._identity = exchange.identity
+        #: Names of the servers that got a send.
         self.tried: list[str] = []
+        self._failures: list[_Failure] = []
         #: Whether the request may have run.
         self.may_have_run = False
 
@@ -65,44 +87,55 @@
         """
         allowance = get_retry_budget(self._parts, self._admitted.service.name)
         allowance.record_request(read_clock())
-        failure = await self._send_once(deliver, None)
-        while failure:
-            if not may_retry(self._exchange, len(self.tried), failure):
-                raise self._refuse(failure)
-            failure = await self._send_once(deliver, failure)
+        while not await self._send_once(deliver):
+            error = self._failures[-1].error
+            if not may_retry(self._exchange, len(self._failures), error):
+                raise self._refuse(error)
 
-    async def _send_once(
-        self,
-        deliver: Deliver,
-        before: UpstreamError | None,
-    ) -> UpstreamError | None:
+    async def _send_once(self, deliver: Deliver) -> bool:
         """Send the request once.
 
-        :returns: the error of the send; None on success.
+        :returns: whether it was delivered.
         """
         if self._prepare:
             # May wait, so it precedes decisions that depend on current state.
             await self._prepare()
-        try:
-            server = await find_server(self._exchange, self.tried)
-        except RefusedError as error:
-            raise self._refuse(before, error) from error
-        self.tried.append(server.name)
-        send = Send(
-            server,
-            read_clock(),
-            self._identity,
-            avoids_link=before is not None and before.broken,
-        )
-        log_send(self._parts, self._admitted, send, len(self.tried))
+        send = self._make_send(await self._find_server())
+        log_send(self._parts, self._admitted, send, len(self._failures) + 1)
         try:
             await deliver(send)
         except UpstreamError as error:
+            self._failures.append(_Failure(send, error, read_clock()))
             self.may_have_run = self.may_have_run or error.sent
             record_failure(self._exchange, send, error)
-            return error
+            return False
         record_success(self._exchange, send)
-        return None
+        return True
+
+    def _make_send(self, server: BackendServer) -> Send:
+        avoids_link = False
+        if self._failures:
+            last = self._failures[-1]
+            # The connection of a peer may have broken as well.
+            returns = server.name in self.tried and last.send.avoids_link
+            avoids_link = last.error.broken and not returns
+        if server.name not in self.tried:
+            self.tried.append(server.name)
+        return Send(
+            server, read_clock(), self._identity, avoids_link=avoids_link
+        )
+
+    async def _find_server(self) -> BackendServer:
+        error = self._failures[-1].error if self._failures else None
+        try:
+            server = await _find_server(
+                self._exchange, self.tried, self._failures
+            )
+        except RefusedError as refused:
+            raise self._refuse(error, refused) from refused
+        if server is None:
+            raise self._refuse(error)
+        return server
 
     def _refuse(
         self,
@@ -123,3 +156,53 @@
         if not has_time_left(self._admitted):
             return RefusedError(RefusalCode.too_late, details)
         return RefusedError(RefusalCode.upstream_failed, details)
+
+
+async def _find_server(
+    exchange: Exchange, tried: list[str], failures: list[_Failure]
+) -> BackendServer | None:
+    if not failures:
+        return await find_server(exchange, tried)
+    error = failures[-1].error
+    if may_try_another(exchange, len(tried), error):
+        return await _find_another(exchange, tried, failures)
+    survivor = await _find_survivor(exchange, failures)
+    if survivor and spend_allowance(exchange, error):
+        return survivor
+    return None
+
+
+async def _find_another(
+    exchange: Exchange, tried: list[str], failures: list[_Failure]
+) -> BackendServer | None:
+    error = failures[-1].error
+    if not spend_allowance(exchange, error):
+        return None
+    try:
+        return await find_server(exchange, tried)
+    except RefusedError:
+        if not error.broken:
+            raise
+    return await _find_survivor(exchange, failures)
+
+
+async def _find_survivor(
+    exchange: Exchange, failures: list[_Failure]
+) -> BackendServer | None:
+    """Find a server that was tried and whose link broke, not the server."""
+    if not failures[-1].error.broken:
+        return None
+    board = exchange.parts.board
+    up_at = board.broken.up_at
+    # The last connection of a request that avoids its link is one of a peer.
+    is_peer_suspect = failures[-1].send.avoids_link
+
+    def list_survivors() -> list[str]:
+        return [
+            one.send.server.name
+            for one in failures
+            if up_at.get(one.send.server.name, 0) > one.at
+            and (is_peer_suspect or board.links.is_broken(one.send.server))
+        ]
+
+    return await find_survivor(exchange, list_survivors)
--- a/src/dykemast/_internal/serving/relay/crash_watch.py
+++ b/src/dykemast/_internal/serving/relay/crash_watch.py
@@ -26,6 +26,8 @@
 #: A server is probed for this long after a broken send. Later, its entry and
 #: reports from peers show whether it crashed, without a connection.
 PROBE_WINDOW_S: Final = 0.5
+#: States of a server that is up.
+_UP: Final = (ServerState.reached, ServerState.link_broken)
 
 
 def record_broken_send(
@@ -77,6 +79,8 @@
     server = parts.board.servers.get(name)
     if server and read_clock() - broken_at < PROBE_WINDOW_S:
         state = await probe_server(parts, server)
+        if state in _UP:
+            parts.board.broken.up_at[name] = read_clock()
         if state is ServerState.link_broken:
             # The link broke these sends, not the server.
             parts.board.broken.take_sends(name)
--- a/src/dykemast/_internal/serving/relay/retries.py
+++ b/src/dykemast/_internal/serving/relay/retries.py
@@ -12,10 +12,13 @@
 from dykemast._internal.serving.relay.exchange import Exchange
 from dykemast._internal.serving.requests.admitted_request import AdmittedRequest
 from dykemast._internal.utils.clock import read_clock
+from dykemast._internal.utils.events import make_logger
+
+_log = make_logger('route')
 
 #: A retry with less time left would not complete.
 MIN_TIME_LEFT_S: Final = 0.05
-#: Maximum number of servers tried for one request, including servers that
+#: Maximum number of sends of one request, including those to servers that
 #: refused the connection: several times what routes allow.
 MAX_SENDS: Final = 5
 #: Bounds of the retry-after time: its minimum, and the largest factor by which
@@ -25,19 +28,62 @@
 
 
 def may_retry(exchange: Exchange, sends: int, error: UpstreamError) -> bool:
-    """Check whether a request may be sent again.
+    """Check whether a request may be sent again, if there is a server for it.
 
     :param exchange: the request.
     :param sends: number of sends so far.
     :param error: the error of the last send.
     :returns: whether a retry is allowed.
     """
-    if not _is_allowed(exchange, sends, error):
+    admitted = exchange.admitted
+    if error.sent and not admitted.is_repeatable():
         return False
+    return has_time_left(admitted) and sends < MAX_SENDS
+
+
+def may_try_another(
+    exchange: Exchange, servers: int, error: UpstreamError
+) -> bool:
+    """Check whether a retry may go to a server that was not tried.
+
+    :param exchange: the request.
+    :param servers: number of servers that were tried.
+    :param error: the error of the last send.
+    :returns: whether it may.
+    """
+    if error.broken and is_on_trial(exchange.parts.board, exchange.identity):
+        # A retry may crash another server. The caller has to repeat the
+        # request.
+        return False
+    # If the chosen server did not receive the request, it does not count.
+    return (
+        error.unconnected
+        or error.absent
+        or servers < exchange.admitted.route.max_workers
+    )
+
+
+def spend_allowance(exchange: Exchange, error: UpstreamError) -> bool:
+    """Take a retry from the allowance of the service.
+
+    :param exchange: the request.
+    :param error: the error of the last send.
+    :returns: whether there was one.
+    """
     if error.unconnected:
         # No server received the request, so this is not a repeat.
         return True
-    return _spend_allowance(exchange)
+    parts = exchange.parts
+    allowance = get_retry_budget(parts, exchange.admitted.service.name)
+    routers = 1 + len(parts.board.peers)
+    allowed = allowance.consume(read_clock(), routers)
+    if not allowed:
+        _log(
+            'retry_not_allowed',
+            request=exchange.admitted.request.request_id,
+            service=exchange.admitted.service.name,
+        )
+    return allowed
 
 
 def has_time_left(admitted: AdmittedRequest) -> bool:
@@ -63,30 +109,3 @@
     return max(wait, MIN_RETRY_AFTER_S) * random.uniform(
         1, MAX_RETRY_AFTER_FACTOR
     )
-
-
-def _is_allowed(exchange: Exchange, sends: int, error: UpstreamError) -> bool:
-    admitted = exchange.admitted
-    if error.sent and not admitted.is_repeatable():
-        return False
-    if error.broken and is_on_trial(exchange.parts.board, exchange.identity):
-        # A retry may crash another server. The caller has to repeat the
-        # request.
-        return False
-    return has_time_left(admitted) and _has_sends_left(admitted, sends, error)
-
-
-def _has_sends_left(
-    admitted: AdmittedRequest, sends: int, error: UpstreamError
-) -> bool:
-    if error.unconnected or error.absent:
-        # The chosen server did not receive the request.
-        return sends < MAX_SENDS
-    return sends < admitted.route.max_workers
-
-
-def _spend_allowance(exchange: Exchange) -> bool:
-    parts = exchange.parts
-    allowance = get_retry_budget(parts, exchange.admitted.service.name)
-    routers = 1 + len(parts.board.peers)
-    return allowance.consume(read_clock(), routers)
--- a/src/dykemast/_internal/serving/relay/server_search.py
+++ b/src/dykemast/_internal/serving/relay/server_search.py
@@ -1,7 +1,7 @@
 """Search for the backend server of the next send."""
 
 import asyncio
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 from dykemast._internal.models.backend import BackendServer
@@ -24,6 +24,11 @@
 #: Extra wait per priority step, so that the more urgent of several requests
 #: that wait for the same moment goes first.
 PRIORITY_STEP_S: Final = 0.01
+#: Maximum wait for the check of a server after its connection broke, which
+#: includes a connection through a peer, and the interval at which a request
+#: looks for the result.
+MAX_CHECK_WAIT_S: Final = 0.5
+CHECK_POLL_S: Final = 0.02
 
 
 class ServerWait:
@@ -52,7 +57,7 @@
 
 async def find_server(
     exchange: Exchange,
-    tried: Sequence[str],
+    tried: Collection[str],
 ) -> BackendServer:
     """Find a server; if none is free, wait as long as the objective allows.
 
@@ -74,8 +79,29 @@
         await asyncio.sleep(wait)
 
 
+async def find_survivor(
+    exchange: Exchange, list_survivors: Callable[[], Collection[str]]
+) -> BackendServer | None:
+    """Find a server that a request may return to after its connection broke.
+
+    :param exchange: the request.
+    :param list_survivors: lists the servers that were found up since then.
+    :returns: a server that can take the request now, if there is one.
+    :raises RefusedError: when the request must not be sent any more.
+    """
+    until = read_clock() + MAX_CHECK_WAIT_S
+    while True:
+        survivors = set(list_survivors())
+        if survivors:
+            listed = exchange.parts.board.servers.keys()
+            return _choose_server(exchange, listed - survivors)
+        if read_clock() >= until:
+            return None
+        await asyncio.sleep(CHECK_POLL_S)
+
+
 def _choose_server(
-    exchange: Exchange, tried: Sequence[str]
+    exchange: Exchange, tried: Collection[str]
 ) -> BackendServer | None:
     board = exchange.parts.board
     checks.check_evacuations(board)
@@ -86,9 +112,9 @@
     )
 
 
-def _refuse(exchange: Exchange, tried: Sequence[str]) -> RefusedError:
+def _refuse(exchange: Exchange, tried: Collection[str]) -> RefusedError:
     parts = exchange.parts
     halls = checks.describe_restrictions(parts.board, exchange.admitted)
-    details = {'tried': tried, **halls}
+    details = {'tried': list(tried), **halls}
     retry_after_s = compute_retry_after(exchange)
     return RefusedError(RefusalCode.no_server, details, retry_after_s)
--- a/tests/functional/test_partitioned_routers.py
+++ b/tests/functional/test_partitioned_routers.py
@@ -27,9 +27,12 @@
 LOG_S = 0.5
 
 
-def start(routers: int = 3) -> Deployment:
+def start(
+    routers: int = 3, versions: dict[str, str] | None = None
+) -> Deployment:
     deployment = Deployment(routers, 2)
     deployment.router_module = MODULE
+    deployment.versions = versions or {}
     deployment.start(prepaid=100_000_000)
     assert poll_until(lambda: know_each_other(deployment), HANG_GUARD)
     return deployment
@@ -163,7 +166,18 @@
     streams = open_streams(deployment, 'node-0', 'node-1')
     for router in ('node-0', 'node-1'):
         partition(deployment, router, 'reset_late')
-    assert {count_events(stream) for stream in streams} == {EVENTS}
+    counts = [count_events(stream) for stream in streams]
+    assert set(counts) == {EVENTS}, counts
+    deployment.stop()
+
+
+def test_streams_return_to_the_only_server_of_their_version() -> None:
+    versions = {'engine-0': 'v1', 'engine-1': 'v2'}
+    deployment = start(versions=versions)
+    streams = open_streams(deployment, 'node-0')
+    partition(deployment, 'node-0', 'reset')
+    counts = [count_events(stream) for stream in streams]
+    assert set(counts) == {EVENTS}, counts
     deployment.stop()
 
 
