Be ready only when nothing has to be read before a request is served

Cause: readiness looked at the list of servers, of whatever age, and at the emptied halls, but not at the crashes, without which each request is refused (quarantined may be missing), nor at lists that a peer sent without their age. The tests' own wait asked the entry, which answers as soon as it knows a peer.

Change: ready once the configuration, the servers, the emptied halls and the crashes were read, or the last copy is in force while the store is away. The tests' wait asks the readiness address of the router itself, which is stricter: what a router refuses after that is a fault.

--- a/src/dykemast/_internal/serving/process/entry.py
+++ b/src/dykemast/_internal/serving/process/entry.py
@@ -14,15 +14,19 @@
     decode_entry_question,
     encode_entry,
 )
-from dykemast._internal.platform.servers import SERVER_KIND
+from dykemast._internal.platform.configuration import CONFIGURATION_KIND
+from dykemast._internal.platform.servers import EVACUATION_KIND, SERVER_KIND
 from dykemast._internal.serving.knowledge.cache_freshness import (
+    get_configuration_freshness,
     get_evacuations_freshness,
+    get_servers_freshness,
 )
 from dykemast._internal.serving.state.board import (
     Peer,
     ServingBoard,
     list_live_peers,
 )
+from dykemast._internal.serving.state.quarantines import is_crash_table_current
 from dykemast._internal.serving.members.own_entry import compute_entry_ttl
 from dykemast._internal.serving.state.monitoring import render_metrics
 from dykemast._internal.serving.parts import Parts
@@ -77,12 +81,21 @@
     """
     if board.table is None or board.stopping:
         return False
-    if not (board.server_state.revision or SERVER_KIND in board.last_read_at):
-        # Neither the store nor a peer has sent the list of backend servers.
-        return False
     if get_evacuations_freshness(board).outdated:
         # The list of evacuated halls has not been read, or is too old.
         return False
+    copies = {
+        CONFIGURATION_KIND: get_configuration_freshness(board),
+        SERVER_KIND: get_servers_freshness(board),
+        EVACUATION_KIND: get_evacuations_freshness(board),
+    }
+    has_read = all(
+        kind in board.last_read_at or copy.may_serve()
+        for kind, copy in copies.items()
+    )
+    if not (has_read and is_crash_table_current(board)):
+        # Each request would be refused.
+        return False
     return not board.loops.list_failing(read_clock())
 
 
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -5,7 +5,7 @@
 
 import json
 from typing import Any
-from urllib import error as url_error
+from urllib import error as url_error, request as url_request
 
 import msgspec
 
@@ -18,7 +18,7 @@
 )
 from tests.lib.users_settings import make_settings
 from tools.calls import call
-from tools.polling import poll_until
+from tools.polling import HANG_GUARD, poll_until
 from tools.processes import Processes
 from tools.ports import choose_network, find_ports
 
@@ -93,11 +93,12 @@
         return 'http://{0}:{1}'.format(host, self.ports[listener])
 
     def wait_ready(self, name: str) -> None:
-        url = self.find_url(name, 'entry')
+        # The entry answers with the addresses of peers before that.
+        url = self.find_url(name, 'readiness')
         process = self.processes.running[name]
 
         def is_over() -> bool:
-            return process.poll() is not None or _answers_callers(url)
+            return process.poll() is not None or _is_ready(url)
 
         over = poll_until(is_over, START_TIMEOUT_S)
         if not over or process.poll() is not None:
@@ -151,12 +152,12 @@
         self.processes.run(name, module, '--port', port, *words)
 
 
-def _answers_callers(url: str) -> bool:
+def _is_ready(url: str) -> bool:
     try:
-        call(f'{url}/resolve?name=any')
-    except (url_error.URLError, OSError):
+        with url_request.urlopen(f'{url}/readyz', timeout=HANG_GUARD):
+            return True
+    except OSError:
         return False
-    return True
 
 
 def _name_engines(engines: int) -> list[str]:
