Mutations of returns to servers and of readiness, and one that had moved

test_what_a_mutation_replaces_stands_once failed on: the rule on servers that are not there is now written in another form, and the mutation replaces it there; what it breaks and the test that has to notice are the same.

--- a/tools/fleet_mutations.py
+++ b/tools/fleet_mutations.py
@@ -110,8 +110,8 @@
         'count a server that is not there as a send',
         'no refusal while servers have room',
         f'{_INTERNAL}/serving/relay/retries.py',
-        'if error.unconnected or error.absent:',
-        'if error.unconnected:',
+        'or error.absent',
+        'or error.unconnected',
         'test_a_server_that_is_not_there',
     ),
     Mutation(
--- a/tools/link_mutations.py
+++ b/tools/link_mutations.py
@@ -25,6 +25,22 @@
         'raise _make_unconnected(error, absent=False) from error',
         'test_callers_of_a_router_whose_links_are_refused',
     ),
+    Mutation(
+        'never return to a server whose link broke',
+        'callers of routers without links are served',
+        f'{_INTERNAL}/serving/relay/attempts.py',
+        'return await find_survivor(exchange, list_survivors)',
+        'return None',
+        'test_streams_return_to_the_only_server',
+    ),
+    Mutation(
+        'be ready before the crashes are read',
+        'a router is ready only when it can serve',
+        f'{_INTERNAL}/serving/process/entry.py',
+        'if not (has_read and is_crash_table_current(board)):',
+        'if not has_read:',
+        'test_a_router_that_has_not_read_the_crashes',
+    ),
     Mutation(
         'believe each refusal of a connection',
         'sound servers are not told as crashed',
