Add a failing test of links that open and carry no answer

Links of a router that are reset 0.1 s after they open, or that open and pass no byte, leave its callers unserved: 115 to 433 price requests of a second were refused as quarantined, some ended by 502, and with silent links 6 by 504. The checks of links only connect and wait 50 ms, so such a link counts as one that works, and sound requests as suspected of ending servers.

--- a/tests/functional/test_partitioned_routers.py
+++ b/tests/functional/test_partitioned_routers.py
@@ -122,6 +122,22 @@
     check_partitioned('hang', 'node-0', 'node-1').stop()
 
 
+def check_served_after(mode: str, router: str) -> None:
+    """Check that a router is served that had requests since the cut."""
+    deployment = start()
+    check_served(deployment)
+    partition(deployment, router, mode)
+    for ask in ASKS:
+        ask_all(deployment, ask, CONTACT_S / len(ASKS))
+    check_served(deployment)
+    deployment.stop()
+
+
+def test_callers_are_served_though_links_that_open_carry_no_answer() -> None:
+    for mode in ('reset_later', 'silent'):
+        check_served_after(mode, 'node-0')
+
+
 def test_a_router_whose_links_are_back_sends_by_itself() -> None:
     deployment = check_partitioned('refuse', 'node-0')
     partition(deployment, 'node-0')
--- a/tests/lib/partitioned_router.py
+++ b/tests/lib/partitioned_router.py
@@ -11,20 +11,33 @@
 import weakref
 from collections.abc import Callable
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, Final
 
 from tests.lib.deployment import Deployment
 
 MODULE: Final = 'tests.lib.partitioned_router'
-#: Connections hang; they are refused; they are reset when they are opened, or
-#: just after that; or those that are open live on while new ones are refused.
-MODES: Final = ('hang', 'refuse', 'reset', 'reset_late', 'refuse_new')
+#: Connections hang; they are refused; they are reset when they are opened, just
+#: after that, or some round trips later; they are opened, but no byte passes;
+#: or those that are open live on while new ones are refused.
+MODES: Final = (
+    'hang',
+    'refuse',
+    'reset',
+    'reset_late',
+    'reset_later',
+    'silent',
+    'refuse_new',
+)
 #: Backend servers of a deployment listen on it, and routers do not.
 SERVER_HOST: Final = '127.0.0.1'
 CHECK_INTERVAL_S: Final = 0.02
 #: Time after which the system gives up a connection that hangs.
 HANG_S: Final = 3.0
-RESET_DELAY_S: Final = 0.001
+#: Seconds from the opening of a connection until it is reset.
+RESET_DELAYS_S: Final = MappingProxyType(
+    {'reset_late': 0.001, 'reset_later': 0.1}
+)
 
 _Loop = asyncio.selector_events.BaseSelectorEventLoop
 
@@ -60,6 +73,8 @@
 
     def add(self, transport: Any) -> None:
         self._open.append(transport)
+        if self.mode == 'silent':
+            _silence(transport)
 
     async def break_new(self, sock: socket.socket) -> None:
         """Break a connection to a server that begins, if links are broken."""
@@ -69,9 +84,10 @@
             raise ConnectionResetError('link broken')
         if self.mode in {'refuse', 'refuse_new'}:
             raise ConnectionRefusedError('link broken')
-        if self.mode == 'reset_late':
+        if self.mode in RESET_DELAYS_S:
             loop = asyncio.get_running_loop()
-            loop.call_later(RESET_DELAY_S, _shut_down, sock)
+            delay = RESET_DELAYS_S.get(self.mode, 0)
+            loop.call_later(delay, _shut_down, sock)
 
     async def _follow(self) -> None:
         while True:
@@ -88,14 +104,18 @@
         transports = [one for one in self._open if not one.is_closing()]
         self._open.clear()
         for transport in transports:
-            if self.mode == 'hang':
-                transport.pause_reading()
-                transport.write = bool
+            if self.mode in {'hang', 'silent'}:
+                _silence(transport)
                 loop.call_later(HANG_S, _reset, transport)
             else:
                 _reset(transport)
 
 
+def _silence(transport: Any) -> None:
+    transport.pause_reading()
+    transport.write = bool
+
+
 def _reset(transport: Any) -> None:
     if not transport.is_closing():
         transport._force_close(ConnectionResetError('link broken'))
