Tell how old the list of servers was when a stream was taken up

On call: the log told at which version a stream that its caller takes up may go on, and how that was known, but not how old the list was on which "only version" rests, so a server that was listed a moment later could not be told from a fault.

stream_taken_up has servers_age_s now. The test of streams of the only version checks it (KeyError before); nothing is decided by it.

--- a/src/dykemast/_internal/serving/relay/resumptions.py
+++ b/src/dykemast/_internal/serving/relay/resumptions.py
@@ -5,6 +5,8 @@
     Origin,
     make_stream_key,
 )
+from dykemast._internal.platform.servers import SERVER_KIND
+from dykemast._internal.serving.knowledge.cache_freshness import compute_age
 from dykemast._internal.serving.knowledge.server_versions import (
     is_version_certain,
 )
@@ -94,6 +96,8 @@
         first_request=request.first_request_id,
         version=origin.version if origin else None,
         known_by=how,
+        # A server that the list does not name yet may be of another version.
+        servers_age_s=round(compute_age(exchange.parts.board, SERVER_KIND), 3),
     )
     if origin is None:
         if not request.last_event_id:
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -276,4 +276,12 @@
         assert reply.body.startswith(b'id: 4')
     kinds = deployment.control('store')['objects']
     assert 'dykemast-streams' not in kinds
+    taken_up = [
+        one
+        for router in deployment.names
+        for one in deployment.read_events(router)
+        if one['event'] == 'stream_taken_up'
+    ]
+    assert {one['known_by'] for one in taken_up} == {'only version'}
+    assert all(one['servers_age_s'] >= 0 for one in taken_up)
     deployment.stop()
