--- a/tests/lib/serving_boards.py
+++ b/tests/lib/serving_boards.py
@@ -7,6 +7,7 @@
     InstanceSettings,
     Listeners,
 )
+from dykemast._internal.platform.configuration import CONFIGURATION_KIND
 from dykemast._internal.platform.servers import SERVER_KIND
 from dykemast._internal.serving.sending.server_paths import ServerPaths
 from dykemast._internal.serving.state.board import Peer, ServingBoard
@@ -53,6 +54,8 @@
     return ServerPaths(make_board())
 
 
-def mark_servers_read(board: ServingBoard) -> None:
-    """Have a router know the list of backend servers, which is empty."""
-    board.last_read_at[SERVER_KIND] = read_clock()
+def mark_all_read(board: ServingBoard) -> None:
+    """Have a router know all that it needs to serve; the lists are empty."""
+    now = read_clock()
+    board.last_read_at.update({CONFIGURATION_KIND: now, SERVER_KIND: now})
+    board.crashes.requested_at = now
--- a/tests/unit/test_listener_ends.py
+++ b/tests/unit/test_listener_ends.py
@@ -15,7 +15,7 @@
 from tests.lib.serving_boards import (
     make_board,
     make_endpoint,
-    mark_servers_read,
+    mark_all_read,
 )
 from tests.lib.users_objects import make_configuration
 from tools.polling import POLL
@@ -31,7 +31,7 @@
     board.settings = board.settings._replace(listeners=listeners)
     stored = StoreObject('main', 1, make_configuration())
     board.table = decode_configuration(stored)
-    mark_servers_read(board)
+    mark_all_read(board)
     return await runtime.open_runtime(board)
 
 
--- a/tests/unit/test_supervision.py
+++ b/tests/unit/test_supervision.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from types import SimpleNamespace
 
 from dykemast._internal.operations.loop_health import (
     MAX_FAILURES,
@@ -21,7 +22,7 @@
     LoopFailure,
     start_loops,
 )
-from tests.lib.serving_boards import make_board, mark_servers_read
+from tests.lib.serving_boards import make_board, mark_all_read
 
 
 def test_a_loop_runs_again_after_each_end() -> None:
@@ -94,8 +95,8 @@
 
 def test_a_router_whose_loop_fails_is_not_ready() -> None:
     board = make_board()
-    board.table = object()
-    mark_servers_read(board)
+    board.table = SimpleNamespace(version=1)
+    mark_all_read(board)
     assert is_ready(board)
     for _ in range(MAX_FAILURES):
         board.loops.record_failure('keep_fresh:servers', read_clock())
