Loans: both ends of a loan, and whom a refused request's router asked

Only the row of an owner had a sum of what it lent. Of a refused request it could not be told whether its router had asked the owner, or a router that it took for the owner, nor when tokens had last come. Lenders log each loan, refusals tell whom was asked and when, token_account compares both ends, and the gauges have the sums. No decision changes.

--- a/src/dykemast/_internal/serving/process/description.py
+++ b/src/dykemast/_internal/serving/process/description.py
@@ -5,6 +5,7 @@
 from dykemast._internal.serving.knowledge.cold_servers import is_cold
 from dykemast._internal.serving.parts import Parts
 from dykemast._internal.serving.state.board import ServingBoard, list_live_peers
+from dykemast._internal.serving.tokens.budgets import Budgets
 from dykemast._internal.utils.clock import read_clock
 
 
@@ -47,11 +48,21 @@
         'loop_failures': board.loops.failures,
         'loops_failing': len(board.loops.list_failing(now)),
         'loop_late_s': round(board.watch.measure_lateness(now), 3),
+        **_count_loans(parts.budgets),
         **_count_suspects(board),
         **_collect_ages(board),
     }
 
 
+def _count_loans(budgets: Budgets) -> dict[str, int]:
+    """Count the tokens that were transferred between routers."""
+    allowances = [one.allowance for one in budgets.accounts.values()]
+    return {
+        'tokens_lent': sum(one.lent for one in allowances),
+        'tokens_borrowed': sum(one.borrowed for one in allowances),
+    }
+
+
 def _count_suspects(board: ServingBoard) -> dict[str, int]:
     """Count the requests and the parts of prompts that may crash servers."""
     suspected = list(board.crashes.crash_sequences)
--- a/src/dykemast/_internal/serving/tokens/accounts.py
+++ b/src/dykemast/_internal/serving/tokens/accounts.py
@@ -78,6 +78,9 @@
     :param earlier_at: time of the last read in earlier eras.
     :param borrowed_at: time at which tokens were last borrowed in advance.
     :param written_at: time of the last attempt to write.
+    :param asked: instance that was last asked for tokens as the owner.
+    :param asked_at: time of that.
+    :param received_at: time at which a loan last brought tokens.
     :param write_lock: serializes writes of it. Of two concurrent writes, the
         answer to the older one could arrive last and be taken for the row in
         the store.
@@ -97,6 +100,9 @@
     earlier_at: float = NEVER
     borrowed_at: float = NEVER
     written_at: float = NEVER
+    asked: str = ''
+    asked_at: float = NEVER
+    received_at: float = NEVER
     write_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
     @property
--- a/src/dykemast/_internal/serving/tokens/budgets.py
+++ b/src/dykemast/_internal/serving/tokens/budgets.py
@@ -18,7 +18,9 @@
 from dykemast._internal.serving.tokens.accounts import Hold
 from dykemast._internal.serving.tokens.token_search import TokenSearch
 from dykemast._internal.utils.clock import read_clock
+from dykemast._internal.utils.events import make_logger
 
+_log = make_logger('loans')
 
 #: Tokens of a budget that the least urgent requests leave: enough for one
 #: urgent request.
@@ -109,12 +111,22 @@
         account = self.get_account(workspace)
         demand = account.demand.compute_window_average(read_clock())
         wanted = tokens + compute_loan(account.ledger, spare or 0, demand)
-        if is_large_fleet(self._board) and is_owner(self._board, workspace):
+        owns = is_large_fleet(self._board) and is_owner(self._board, workspace)
+        if owns:
             account.demand.record(wanted, read_clock())
             if account.allowance.count_available() < wanted:
                 await self._search.refill(account, wanted)
         given = account.allowance.lend(wanted)
         record_loan(account, borrower, given)
+        _log(
+            'tokens_lent',
+            workspace=workspace,
+            borrower=borrower,
+            tokens=given,
+            wanted=wanted,
+            owner=owns,
+            room=account.allowance.count_available(),
+        )
         return given
 
     async def take_back(self, workspace: str, tokens: int, giver: str) -> int:
--- a/src/dykemast/_internal/serving/tokens/loans.py
+++ b/src/dykemast/_internal/serving/tokens/loans.py
@@ -3,12 +3,17 @@
 import asyncio
 import collections
 import random
-from typing import Final
+from typing import Any, Final
 
 from dykemast._internal.exceptions import PeerError
 from dykemast._internal.models.fleet import PeerCard
-from dykemast._internal.serving.tokens.accounts import Account, record_loan
+from dykemast._internal.serving.tokens.accounts import (
+    NEVER,
+    Account,
+    record_loan,
+)
 from dykemast._internal.serving.members.gossip import Gossip
+from dykemast._internal.utils.clock import read_clock
 from dykemast._internal.utils.events import make_logger
 
 _log = make_logger('loans')
@@ -125,6 +130,8 @@
         return False
     account.allowance.borrowed += given
     record_loan(account, card.instance, -given)
+    if given:
+        account.received_at = read_clock()
     _log(
         'tokens_borrowed' if given else 'nothing_to_borrow',
         workspace=account.workspace,
@@ -133,3 +140,21 @@
         missing=missing,
     )
     return True
+
+
+def describe_loans(account: Account) -> dict[str, Any]:
+    """Build the log fields of a router's last attempts to borrow.
+
+    :param account: the budget.
+    :returns: the router that it asked as the owner, and the seconds since
+        then and since a loan brought tokens; None for never.
+    """
+    return {
+        'asked': account.asked or None,
+        'asked_s': _count_seconds_since(account.asked_at),
+        'received_s': _count_seconds_since(account.received_at),
+    }
+
+
+def _count_seconds_since(at: float) -> float | None:
+    return None if at == NEVER else round(read_clock() - at, 3)
--- a/src/dykemast/_internal/serving/tokens/token_search.py
+++ b/src/dykemast/_internal/serving/tokens/token_search.py
@@ -12,6 +12,7 @@
     LedgerWriter,
     describe_account,
 )
+from dykemast._internal.serving.tokens.loans import describe_loans
 from dykemast._internal.serving.requests.refusals import (
     RefusalCode,
     RefusedError,
@@ -130,7 +131,11 @@
         return False
 
     def _refuse(self, account: Account, tokens: int) -> RefusedError:
-        details = {'wanted': tokens, **describe_account(account)}
+        details = {
+            'wanted': tokens,
+            **describe_account(account),
+            **describe_loans(account),
+        }
         if self._writer.is_store_unavailable:
             away = read_clock() - account.seen_at
             pause = compute_retry_after(
--- a/src/dykemast/_internal/serving/tokens/token_source.py
+++ b/src/dykemast/_internal/serving/tokens/token_source.py
@@ -147,6 +147,8 @@
             return False
         left = account.allowance.count_available() - account.pending
         wanted = compute_loan_target(account) - max(0, left)
+        account.asked = owner.instance
+        account.asked_at = read_clock()
         return await ask_lender(
             self._gossip, owner, account, max(0, -left), max(0, wanted)
         )
--- a/tests/unit/test_token_account.py
+++ b/tests/unit/test_token_account.py
@@ -88,3 +88,12 @@
     charge = Charge(900, 100, 0, 0, 200, 0, 1)
     assert budgets == {'joinville': Budget(5000, 250, 9, charge)}
     assert budgets['joinville'].count_left() == 5000 - 250 - 200
+
+
+def test_loans_that_did_not_arrive_are_told_by_both_ends() -> None:
+    loan = {'event': 'tokens_lent', 'workspace': 'joinville', 'tokens': 700}
+    row = {**ROW, 'prepaid': 5000, 'free': 0, 'revision': 3}
+    lines = make_lines('lender', row, loan, {**loan, 'tokens': 50})
+    lines += make_lines('borrower', {**loan, 'event': 'tokens_borrowed'})
+    budgets = read_budgets(list(decode_lines(lines)))
+    assert budgets['joinville'].unarrived == 50
--- a/tools/token_account.py
+++ b/tools/token_account.py
@@ -27,12 +27,14 @@
     :param received: consumed by requests that ended.
     :param free: in no row at the end.
     :param charge: what the deaths of routers cost it.
+    :param unarrived: lent by a router, and not received by the borrower.
     """
 
     paid: int = 0
     received: int = 0
     free: int = 0
     charge: Charge = Charge()
+    unarrived: int = 0
 
     def count_left(self) -> int:
         """Count what callers can not have received."""
@@ -45,22 +47,31 @@
     :param lines: as for :func:`read_dead`.
     :returns: budgets by workspace.
     """
-    received: Counter[str] = Counter()
-    for line in lines:
-        if line['event'] == 'settled':
-            received[line['workspace']] += line['consumed']
     charges = sum_charges(read_dead(lines))
+    received = _sum_field(lines, 'settled', 'consumed')
+    unarrived = _sum_field(lines, 'tokens_lent', 'tokens')
+    unarrived.subtract(_sum_field(lines, 'tokens_borrowed', 'tokens'))
     return {
         name: Budget(
             paid=row['prepaid'],
             received=received[name],
             free=row['free'],
             charge=charges.get(name, Charge()),
+            unarrived=unarrived[name],
         )
         for name, row in _find_newest(lines).items()
     }
 
 
+def _sum_field(lines: list[Line], event: str, field: str) -> Counter[str]:
+    """Sum a field of the lines of one event, by workspace."""
+    total: Counter[str] = Counter()
+    for line in lines:
+        if line['event'] == event:
+            total[line['workspace']] += line[field]
+    return total
+
+
 def _find_newest(lines: list[Line]) -> dict[str, Line]:
     """Find the newest line of each budget's object."""
     rows = (line for line in lines if line['event'] == 'budget_written')
@@ -69,7 +80,9 @@
     return {row['workspace']: row for row in known}
 
 
-_HEAD = 'workspace paid received begun unanswered spare free left rows'.split()
+_HEAD = (
+    'workspace paid received begun unanswered spare free unarrived left rows'
+).split()
 
 
 def format_budget(workspace: str, budget: Budget) -> str:
@@ -83,6 +96,7 @@
         charge.unanswered,
         charge.count_spare(),
         budget.free,
+        budget.unarrived,
         budget.count_left(),
         charge.rows,
     )
