--- a/tests/lib/lending_fleet.py
+++ b/tests/lib/lending_fleet.py
@@ -69,18 +69,15 @@
         held.settle(hold, tokens)
         return True
 
-    async def ask_for(self, seconds: float, router: str, tokens: int) -> float:
-        """Send 40 requests a second; returns the share that was let in."""
+    async def count_refused(
+        self, router: str, requests: int, tokens: int
+    ) -> int:
+        """Send 40 requests a second; returns how many were refused."""
         asked = []
-        for _ in range(int(40 * seconds)):
+        for _ in range(requests):
             asked.append(asyncio.create_task(self.ask(router, tokens)))
             await asyncio.sleep(1 / 40)
-        return sum(await asyncio.gather(*asked)) / len(asked)
-
-    def count_unarrived(self) -> int:
-        """Count the tokens that were lent and have not arrived."""
-        allowances = [self.get_account(name).allowance for name in self.upkeeps]
-        return sum(one.lent - one.borrowed for one in allowances)
+        return (await asyncio.gather(*asked)).count(False)
 
     @contextlib.asynccontextmanager
     async def run(self) -> AsyncIterator[None]:
@@ -99,6 +96,13 @@
         return await getattr(self.upkeeps[router].budgets, method)(*words)
 
 
+def count_unarrived(fleet: LendingFleet) -> int:
+    """Count the tokens that were lent and have not arrived."""
+    accounts_of_all = map(fleet.get_account, fleet.upkeeps)
+    allowances = [one.allowance for one in accounts_of_all]
+    return sum(one.lent - one.borrowed for one in allowances)
+
+
 async def keep_heard(board: ServingBoard) -> None:
     """Have a router hear all peers that it does not hold for silent."""
     board.peers_read.set()
--- a/tests/unit/test_late_loans.py
+++ b/tests/unit/test_late_loans.py
@@ -9,7 +9,7 @@
 
 from dykemast._internal.serving.state.board import mark_silent
 from dykemast._internal.serving.tokens.budget_owners import find_owner
-from tests.lib.lending_fleet import NAME, LendingFleet
+from tests.lib.lending_fleet import NAME, LendingFleet, count_unarrived
 
 PREPAID = 4_000_000
 TOKENS = 2000
@@ -22,21 +22,22 @@
     borrower = fleet.choose_borrower()
     async with fleet.run():
         fleet.links.delays[borrower] = FULL_LINK_S
-        await fleet.ask_for(1, borrower, TOKENS)
+        await fleet.count_refused(borrower, 40, TOKENS)
         fleet.links.delays.clear()
         await asyncio.sleep(1)
-        await fleet.ask_for(1, borrower, TOKENS)
+        await fleet.count_refused(borrower, 40, TOKENS)
         await asyncio.sleep(FULL_LINK_S)
-        assert fleet.count_unarrived() == 0
+        assert count_unarrived(fleet) == 0
 
 
 async def test_callers_of_a_router_with_a_full_link_are_let_in() -> None:
     fleet = LendingFleet(PREPAID)
     borrower = fleet.choose_borrower()
     async with fleet.run():
-        await fleet.ask_for(1, borrower, TOKENS)
+        await fleet.count_refused(borrower, 40, TOKENS)
         fleet.links.delays[borrower] = FULL_LINK_S
-        assert await fleet.ask_for(4, borrower, TOKENS) > 0.95
+        refused = await fleet.count_refused(borrower, 160, TOKENS)
+    assert refused < 0.05 * 160
 
 
 async def test_a_router_that_is_taken_for_the_owner_lends() -> None:
