--- a/src/dykemast/_internal/controllers/stopping.py
+++ b/src/dykemast/_internal/controllers/stopping.py
@@ -4,8 +4,7 @@
 
 from dykemast._internal.blackboard import Blackboard
 from dykemast._internal.operations.planned_stop import StopPlan, plan_stop
-from dykemast._internal.utils.clock import read_clock
-from dykemast._internal.utils.waiting import wait_until
+from dykemast._internal.utils.clock import read_clock, wait_until
 
 
 def begin_stop(board: Blackboard) -> StopPlan:
--- a/src/dykemast/_internal/operations/planned_stop.py
+++ b/src/dykemast/_internal/operations/planned_stop.py
@@ -3,7 +3,7 @@
 import math
 from typing import Final, NamedTuple
 
-from dykemast._internal.utils.waiting import POLL_INTERVAL_S
+from dykemast._internal.utils.clock import POLL_INTERVAL_S
 
 #: Multiple of the TTL of entry responses for which a stopping router stays up
 #: for callers that use them past their TTL: most keep one for twice the TTL,
--- a/src/dykemast/_internal/serving/admission/in_progress.py
+++ b/src/dykemast/_internal/serving/admission/in_progress.py
@@ -11,9 +11,8 @@
     RefusedError,
 )
 from dykemast._internal.serving.requests.admitted_request import AdmittedRequest
-from dykemast._internal.utils.clock import read_clock
+from dykemast._internal.utils.clock import POLL_INTERVAL_S, read_clock
 from dykemast._internal.utils.events import make_logger
-from dykemast._internal.utils.waiting import POLL_INTERVAL_S
 
 _log = make_logger('request')
 
--- a/src/dykemast/_internal/serving/process/planned_stop.py
+++ b/src/dykemast/_internal/serving/process/planned_stop.py
@@ -17,9 +17,8 @@
 from dykemast._internal.serving.members.own_entry import compute_entry_ttl
 from dykemast._internal.serving.tokens.ledger_writer import AWAY_PAUSE
 from dykemast._internal.serving.process.runtime import Runtime
-from dykemast._internal.utils.clock import read_clock
+from dykemast._internal.utils.clock import read_clock, wait_until
 from dykemast._internal.utils.events import make_logger
-from dykemast._internal.utils.waiting import wait_until
 
 _log = make_logger('router')
 
--- a/src/dykemast/_internal/utils/clock.py
+++ b/src/dykemast/_internal/utils/clock.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from functools import partial
 from typing import Final
 
@@ -18,6 +19,9 @@
 #: Read the clock, in seconds since an arbitrary point.
 read_clock: Final = partial(time.clock_gettime, _CLOCK)
 
+#: Interval between two checks of a condition that is waited for.
+POLL_INTERVAL_S: Final = 0.05
+
 
 def read_time_of_day() -> float:
     """Read the wall clock, only for texts to people and other organisations.
@@ -55,3 +59,15 @@
     :returns: the loop.
     """
     return _ClockLoop()
+
+
+async def wait_until(is_done: Callable[[float], bool], until: float) -> None:
+    """Poll until a condition holds or a deadline passes.
+
+    :param is_done: condition; takes the time in seconds of ``read_clock``.
+    :param until: deadline, in seconds of ``read_clock``.
+    """
+    now = read_clock()
+    while now < until and not is_done(now):
+        await asyncio.sleep(POLL_INTERVAL_S)
+        now = read_clock()
