Loans: on a full link a loan is for what arrives until the next one

Where deaths had used up what may be lost as spare tokens, a loan was for the requests that waited when it was asked for.

A borrower measures how long the owner's answer took. Above 0.18 s it asks for the demand of that time and of the interval to the next loan as well, as tokens that are needed, not spare. On sound links nothing changes.

--- a/src/dykemast/_internal/serving/tokens/accounts.py
+++ b/src/dykemast/_internal/serving/tokens/accounts.py
@@ -32,6 +32,10 @@
 #: which bounds the calls per budget and router. Tokens become free when other
 #: routers end, or with a new configuration.
 EMPTY_RECHECK_S: Final = 1.0
+#: Time that a request waits for tokens. One write to a slow store takes less
+#: nearly always; a longer search mostly ends in a refusal, which then costs
+#: the caller more.
+HOLD_TIMEOUT_S: Final = 0.18
 #: Earlier than any time of the monotonic clock.
 NEVER: Final = float('-inf')
 
@@ -83,6 +87,7 @@
     :param written_at: time of the last attempt to write.
     :param asked: instance that was last asked for tokens as the owner.
     :param asked_at: time of that.
+    :param answer_s: seconds that the last answer to a request for a loan took.
     :param received_at: time at which a loan last brought tokens.
     :param write_lock: serializes writes of it. Of two concurrent writes, the
         answer to the older one could arrive last and be taken for the row in
@@ -109,6 +114,7 @@
     written_at: float = NEVER
     asked: str = ''
     asked_at: float = NEVER
+    answer_s: float = 0
     received_at: float = NEVER
     write_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
--- a/src/dykemast/_internal/serving/tokens/loans.py
+++ b/src/dykemast/_internal/serving/tokens/loans.py
@@ -147,6 +147,7 @@
     account: Account,
     needed: Needed,
 ) -> bool:
+    asked_at = read_clock()
     try:
         given = await _request_loan(gossip, card, account, needed)
     except (InvalidDataError, PeerError) as error:
@@ -154,6 +155,8 @@
         return False
     finally:
         account.loans.pop(card.incarnation)
+        if needed.as_owner:
+            account.answer_s = read_clock() - asked_at
     account.allowance.borrowed += given
     record_loan(account, card.instance, -given)
     if given:
--- a/src/dykemast/_internal/serving/tokens/token_search.py
+++ b/src/dykemast/_internal/serving/tokens/token_search.py
@@ -7,6 +7,7 @@
 
 from dykemast._internal.operations.retry_after import compute_retry_after
 from dykemast._internal.serving.tokens.accounts import (
+    HOLD_TIMEOUT_S,
     NEVER,
     Account,
     Shortage,
@@ -23,10 +24,6 @@
 from dykemast._internal.serving.tokens.token_source import TokenSource
 from dykemast._internal.utils.clock import read_clock
 
-#: Time that a request waits for tokens. One write to a slow store takes less
-#: nearly always; a longer search mostly ends in a refusal, which then costs
-#: the caller more.
-HOLD_TIMEOUT_S: Final = 0.18
 #: Time for which a shortage is cached.
 SHORTAGE_VALID_S: Final = 0.5
 #: Retry-After of a request refused for lack of tokens: others end and free
--- a/src/dykemast/_internal/serving/tokens/token_source.py
+++ b/src/dykemast/_internal/serving/tokens/token_source.py
@@ -2,7 +2,10 @@
 
 from typing import Final
 
-from dykemast._internal.serving.tokens.accounts import Account
+from dykemast._internal.serving.tokens.accounts import (
+    HOLD_TIMEOUT_S,
+    Account,
+)
 from dykemast._internal.serving.state.board import (
     ServingBoard,
     list_live_peers,
@@ -30,6 +33,8 @@
 #: Interval between loans in advance, and the smallest loan worth a call.
 LOAN_INTERVAL_S: Final = 1.0
 MIN_LOAN_TOKENS: Final = 4000
+#: Interval at most, as budgets are reviewed twice a second.
+MAX_LOAN_INTERVAL_S: Final = 1.5
 #: Additional delay after a smaller loan.
 SCARCE_DELAY_S: Final = 3.0
 
@@ -45,6 +50,27 @@
     )
 
 
+def compute_needed(account: Account) -> Needed:
+    """Compute how many tokens to ask a budget's owner for.
+
+    While answers take longer than requests wait, a loan has to be for those
+    that arrive until the next one, or it always comes too late.
+
+    :param account: the budget.
+    :returns: tokens.
+    """
+    left = account.allowance.count_available() - account.pending
+    arriving = 0
+    if account.answer_s > HOLD_TIMEOUT_S:
+        demand = account.demand.compute_rate(read_clock())
+        arriving = int(demand * (account.answer_s + MAX_LOAN_INTERVAL_S))
+    return Needed(
+        missing=max(0, arriving - left),
+        spare=max(0, compute_loan_target(account) - max(arriving, left)),
+        as_owner=True,
+    )
+
+
 def needs_loan(board: ServingBoard, account: Account) -> bool:
     """Check whether this router should borrow before a request is short.
 
@@ -155,11 +181,7 @@
         owner = find_owner(self._board, account.workspace)
         if owner is None:
             return False
-        left = account.allowance.count_available() - account.pending
-        wanted = compute_loan_target(account) - max(0, left)
         account.asked = owner.instance
         account.asked_at = read_clock()
-        needed = Needed(
-            missing=max(0, -left), spare=max(0, wanted), as_owner=True
-        )
+        needed = compute_needed(account)
         return await ask_lender(self._gossip, owner, account, needed)
--- a/tests/lib/lending_fleet.py
+++ b/tests/lib/lending_fleet.py
@@ -9,25 +9,20 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+from dykemast._internal.models.budget_ledger import BudgetLedger
 from dykemast._internal.models.routing_table import Workspace
-from dykemast._internal.operations.allowance_terms import Identity, Terms
 from dykemast._internal.serving.requests.refusals import RefusedError
 from dykemast._internal.serving.tokens import (
     budget_owners,
     budget_upkeep,
-    budgets,
-    ledger_writer,
+    ledger_objects,
     lending,
-    token_search,
-    token_source,
-    upkeep,
 )
-from dykemast._internal.utils.clock import read_clock
-from tests.lib.serving_boards import ServingBoard, make_boards
-from tests.lib.slow_links import LINK_S, RouterLink, SlowLinks
+from tests.lib.lending_router import ROUTERS, keep_heard, make_upkeep
+from tests.lib.serving_boards import make_boards
+from tests.lib.slow_links import SlowLinks
 from tests.unit.test_ledger_writer import LateStore
 
-ROUTERS = 30
 NAME = 'joinville'
 
 
@@ -35,12 +30,17 @@
     """All routers, their links and the budget.
 
     :param prepaid: tokens of the budget.
+    :param ledger: the budget as the store has it; None if it has none.
     """
 
-    def __init__(self, prepaid: int) -> None:
+    def __init__(
+        self, prepaid: int, ledger: BudgetLedger | None = None
+    ) -> None:
         self.links = SlowLinks(self._answer)
         self._workspace = Workspace(NAME, 0, prepaid)
         store = LateStore()
+        if ledger:
+            store.stored = ledger_objects.encode_ledger(NAME, 1, ledger)
         self.upkeeps = {
             board.settings.name: make_upkeep(board, store, self.links, prepaid)
             for board in make_boards(ROUTERS)
@@ -103,27 +103,3 @@
     accounts_of_all = map(fleet.get_account, fleet.upkeeps)
     allowances = [one.allowance for one in accounts_of_all]
     return sum(one.lent - one.borrowed for one in allowances)
-
-
-async def keep_heard(board: ServingBoard) -> None:
-    """Have a router hear all peers that it does not hold for silent."""
-    board.peers_read.set()
-    while True:
-        heard = [one for one in board.peers.values() if one.last_heard_at]
-        for peer in heard:
-            peer.last_heard_at = read_clock()
-        await asyncio.sleep(50 * LINK_S)
-
-
-def make_upkeep(
-    board: ServingBoard, store: LateStore, links: SlowLinks, prepaid: int
-) -> upkeep.Upkeep:
-    """Make the parts of one router that hold and lend tokens."""
-    board.started_at -= budget_owners.PEER_DISCOVERY_S
-    name = board.settings.name
-    writer = ledger_writer.LedgerWriter(board, store)
-    writer.read_terms = lambda _: Terms(1, prepaid, ROUTERS)
-    source = token_source.TokenSource(board, writer, RouterLink(links, name))
-    search = token_search.TokenSearch(source, writer)
-    held = budgets.Budgets(Identity(name, board.incarnation), search)
-    return upkeep.Upkeep(board, store, held, writer, search)
--- a/tests/unit/test_late_loans.py
+++ b/tests/unit/test_late_loans.py
@@ -7,6 +7,8 @@
 
 import asyncio
 
+from dykemast._internal.models.budget_ledger import BudgetLedger
+from dykemast._internal.operations.spare_size import LOSS_SHARE
 from dykemast._internal.serving.state.board import mark_silent
 from dykemast._internal.serving.tokens.budget_owners import find_owner
 from tests.lib.lending_fleet import NAME, LendingFleet, count_unarrived
@@ -40,6 +42,21 @@
     assert refused < 0.05 * 160
 
 
+async def test_a_full_link_is_served_though_nothing_may_be_spare() -> None:
+    # Deaths had used up what may be lost as spare tokens: each loan was for
+    # the requests that waited when it was asked for, which were gone by then.
+    lost = int(LOSS_SHARE * PREPAID)
+    ledger = BudgetLedger(1, PREPAID, {}, closed=lost, closed_spare=lost)
+    fleet = LendingFleet(PREPAID, ledger)
+    borrower = fleet.choose_borrower()
+    async with fleet.run():
+        await fleet.count_refused(borrower, 40, TOKENS)
+        fleet.links.delays[borrower] = FULL_LINK_S
+        await fleet.count_refused(borrower, 80, TOKENS)
+        refused = await fleet.count_refused(borrower, 160, TOKENS)
+    assert refused < 0.25 * 160
+
+
 async def test_a_router_that_is_taken_for_the_owner_lends() -> None:
     fleet = LendingFleet(PREPAID)
     borrower = fleet.choose_borrower()
