--- a/tests/unit/test_late_loans.py
+++ b/tests/unit/test_late_loans.py
@@ -1,9 +1,4 @@
-"""Loans of tokens over links that are slow.
-
-Callers of a workspace used one router, whose link was full. The answers to six
-loans of about 9 s of its demand came after 0.4 s; 2.9 million tokens were
-charged for nobody, and callers were refused with 5 to 10 million free.
-"""
+"""Loans of tokens over links that are slow."""
 
 import asyncio
 
@@ -43,8 +38,7 @@
 
 
 async def test_a_full_link_is_served_though_nothing_may_be_spare() -> None:
-    # Deaths had used up what may be lost as spare tokens: each loan was for
-    # the requests that waited when it was asked for, which were gone by then.
+    # Each loan was for requests that had been refused by then.
     lost = int(LOSS_SHARE * PREPAID)
     ledger = BudgetLedger(1, PREPAID, {}, closed=lost, closed_spare=lost)
     fleet = LendingFleet(PREPAID, ledger)
