Sends: a response whose bytes never end is closed

What callers saw: a server that sends interim responses or a chunk's extension without end held a caller up to the deadline of the request, at each try anew. Cause: the client library reads both for as long as they arrive; an extension of 1.9 GB was read in 5 s, and 25 MB of interim responses, which keep the event loop busy meanwhile. A body that is read as a whole had a limit of 16 MiB, but any number of them could be in memory at the same time. Ruled out: header fields, status lines and junk without end, for which the library raises within 0.01 s as tried before. Change: the handler of a connection counts bytes since the last part of a body and closes the connection at 128 KiB; all bodies that are read as a whole hold 64 MiB together at most. Both are failures of the send, not of its link, so the next server is tried where the request may run again. Tests: three of test_endless_responses failed before (1,896,677,464 bytes, 1,952,514,145 and 24,769,962 sent for at most 16,777,216), the one of memory could not run; test_endless_servers failed before (callers of two servers, one of them endless, were not all served) and passes in 2 s. A long body in chunks of one byte that is read slowly stays whole. Two mutants, both caught. Not covered: a head or body that trickles is bounded by its deadline alone; a body that has been read and waits for a slow caller; the other program, `dykemast router`, reads its servers with the library as it is.

--- a/src/dykemast/_internal/serving/sending/server_connections.py
+++ b/src/dykemast/_internal/serving/sending/server_connections.py
@@ -24,6 +24,15 @@
 )
 
 
+#: Bytes that may arrive between two parts of a body, or before the head: those
+#: of heads, interim responses and the framing of chunks.
+MAX_FRAMING_BYTES: Final = 131_072
+
+
+class EndlessResponseError(aiohttp.ClientPayloadError):
+    """A server sends without end what is no part of a body."""
+
+
 class CheckedRequest(aiohttp.ClientRequest):
     """A request that is checked once its connection is open."""
 
@@ -34,15 +43,52 @@
 
 
 class _ResponseHandler(ResponseHandler):
-    """Tells a response that its connection ends from one that is cut off.
+    """Tells a response that ends from one that is cut off, or has no end.
 
     The library takes any end of a connection for the end of a response that has
-    neither a length nor chunks.
+    neither a length nor chunks, and reads interim responses and extensions of
+    chunks for as long as they arrive.
     """
 
     #: Whether the connection ends in an orderly way only with the response.
     has_orderly_end = True
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Start without bytes.
+
+        :param loop: the event loop.
+        """
+        super().__init__(loop)
+        self._framing_bytes = 0
+        self._body_bytes = 0
+
+    def set_response_params(self, **options: Any) -> None:
+        """Prepare for the response to another request.
+
+        :param options: as the library defines them.
+        """
+        self._framing_bytes = 0
+        self._body_bytes = 0
+        super().set_response_params(**options)
+
+    def data_received(
+        self,
+        data: bytes,  # noqa: WPS110 (name of the library)
+    ) -> None:
+        """Read bytes; close the connection if they have no end.
+
+        :param data: the bytes.
+        """
+        super().data_received(data)
+        body_bytes = self._payload.total_bytes if self._payload else 0
+        if body_bytes == self._body_bytes:
+            self._framing_bytes += len(data)
+        else:
+            self._framing_bytes = 0
+        self._body_bytes = body_bytes
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._end_response()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Break the response, unless it is complete.
 
@@ -55,6 +101,15 @@
             )
         super().connection_lost(exc)
 
+    def _end_response(self) -> None:
+        text = f'{self._framing_bytes} bytes without a part of a body'
+        error = EndlessResponseError(text)
+        self.set_exception(error)
+        if self._payload:
+            self._payload.set_exception(error)
+        if self.transport:
+            self.transport.abort()
+
 
 class DirectConnector(aiohttp.TCPConnector):
     """Pool of connections that tells which requests open one."""
--- a/src/dykemast/_internal/serving/sending/upstream.py
+++ b/src/dykemast/_internal/serving/sending/upstream.py
@@ -18,6 +18,7 @@
 from dykemast._internal.serving.sending import server_connections
 from dykemast._internal.serving.sending.upstream_response import (
     RESPONSE_ERRORS,
+    BufferedBodies,
     NoteHead,
     UpstreamResponse,
     check_head,
@@ -41,6 +42,7 @@
         self._check_send = check_send
         self._note_head = note_head
         self._connections = UpstreamConnections(paths)
+        self.bodies = BufferedBodies()
 
     @asynccontextmanager
     async def send(
@@ -75,7 +77,7 @@
         head = read_head(outgoing.request.request_id, response)
         self._note_head(outgoing.server, head)
         check_head(head)
-        return UpstreamResponse(head, response)
+        return UpstreamResponse(head, response, self.bodies)
 
     async def _open(self, outgoing: UpstreamRequest) -> aiohttp.ClientResponse:
         check = partial(self._check_send, outgoing)
--- a/src/dykemast/_internal/serving/sending/upstream_response.py
+++ b/src/dykemast/_internal/serving/sending/upstream_response.py
@@ -1,7 +1,8 @@
 """Responses of backend servers."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+import contextlib
+from collections.abc import AsyncIterator, Callable, Iterator
 from typing import Final, NamedTuple
 
 import aiohttp
@@ -10,12 +11,17 @@
 from dykemast._internal.models.backend import BackendServer
 from dykemast._internal.models.forwarding import ResponseHead
 from dykemast._internal.platform.answer_headers import decode_answer
+from dykemast._internal.serving.sending.server_connections import (
+    EndlessResponseError,
+)
 from dykemast._internal.utils.clock import read_clock
 
 #: Records the head of a response of a server.
 NoteHead = Callable[[BackendServer, ResponseHead], None]
 
 MAX_RESPONSE_BYTES: Final = 16_777_216
+#: Limit for all responses that are read as a whole at the same time.
+MAX_BUFFERED_BYTES: Final = 4 * MAX_RESPONSE_BYTES
 #: Exceptions of the client library for a failed connection or response.
 RESPONSE_ERRORS: Final = (
     aiohttp.ClientError,
@@ -27,15 +33,51 @@
 _FIRST_FAILURE: Final = 300
 
 
+class BufferedBodies:
+    """Counts the bytes of bodies that are being read as a whole."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.held = 0
+
+    def add(self, size: int) -> None:
+        """Count more bytes of a body.
+
+        :param size: number of bytes.
+        :raises UpstreamError: if all bodies together are too long.
+        """
+        if self.held + size > MAX_BUFFERED_BYTES:
+            raise UpstreamError(
+                f'responses in progress exceed {MAX_BUFFERED_BYTES} bytes',
+                sent=True,
+            )
+        self.held += size
+
+    @contextlib.contextmanager
+    def count(self, body: bytearray) -> Iterator[None]:
+        """Count a body while it is read.
+
+        :param body: what has arrived, each part of which was added.
+        """
+        with contextlib.ExitStack() as at_end:
+            at_end.callback(lambda: self._remove(len(body)))
+            yield
+
+    def _remove(self, size: int) -> None:
+        self.held -= size
+
+
 class UpstreamResponse(NamedTuple):
     """A response whose head has arrived.
 
     :param head: its head.
     :param response: the response, with its body still to read.
+    :param bodies: counts the bytes of all bodies.
     """
 
     head: ResponseHead
     response: aiohttp.ClientResponse
+    bodies: BufferedBodies
 
     async def read_chunks(self, deadline: float) -> AsyncIterator[bytes]:
         """Read the body in chunks as they arrive.
@@ -65,12 +107,11 @@
         :raises UpstreamError: if it is truncated, late or too long.
         """
         body = bytearray()
-        async for chunk in self.read_chunks(deadline):
-            body += chunk
-            if len(body) > MAX_RESPONSE_BYTES:
-                raise UpstreamError(
-                    f'response exceeds {MAX_RESPONSE_BYTES} bytes', sent=True
-                )
+        with self.bodies.count(body):
+            async for chunk in self.read_chunks(deadline):
+                self.bodies.add(len(chunk))
+                body += chunk
+                _check_length(body)
         return bytes(body)
 
 
@@ -78,9 +119,9 @@
     """Check whether a connection failed, as opposed to a timeout.
 
     :param error: one of ``RESPONSE_ERRORS``.
-    :returns: whether the connection failed.
+    :returns: whether the connection failed, and not because of this router.
     """
-    return not isinstance(error, TimeoutError)
+    return not isinstance(error, (TimeoutError, EndlessResponseError))
 
 
 def read_head(
@@ -116,3 +157,9 @@
         )
     if _OK <= head.status < _FIRST_FAILURE and not head.signed:
         raise UpstreamError('response is not signed', sent=True)
+
+
+def _check_length(body: bytearray) -> None:
+    if len(body) > MAX_RESPONSE_BYTES:
+        text = f'response exceeds {MAX_RESPONSE_BYTES} bytes'
+        raise UpstreamError(text, sent=True)
--- a/tools/link_mutations.py
+++ b/tools/link_mutations.py
@@ -81,4 +81,20 @@
         'LONG_STAY_S: Final = 0.05',
         'test_callers_are_served_though_links_that_open_are_reset_later',
     ),
+    Mutation(
+        'read bytes that are no part of a body without end',
+        'a response without end is closed',
+        f'{_SENDING}/server_connections.py',
+        'if self._framing_bytes > MAX_FRAMING_BYTES:',
+        'if self._framing_bytes < 0:',
+        'test_a_later_chunk_extension_without_end',
+    ),
+    Mutation(
+        'hold as many long responses as arrive',
+        'a response without end is closed',
+        f'{_SENDING}/upstream_response.py',
+        'if self.held + size > MAX_BUFFERED_BYTES:',
+        'if size > MAX_BUFFERED_BYTES:',
+        'test_many_bodies_without_end',
+    ),
 )
