Budgets: rows of a copy that is all there is are charged more

Cause: rows of ended routers are charged what they may have consumed since the copy, their demand of up to 10 s. Ruled out: rows written as often as demand changes, which costs calls to the store at all times; charging all that is free, which refuses all callers. Change: a process that has seen no earlier era charges four times as much. It is an estimate still, and refuses more in vain where the copy was new.

--- a/src/dykemast/_internal/operations/ledger_eras.py
+++ b/src/dykemast/_internal/operations/ledger_eras.py
@@ -18,6 +18,9 @@
 
 #: Highest age of a copy that is reckoned with.
 MAX_COPY_AGE_S: Final = 10.0
+#: Factor on the demand of ended routers in a copy that no running router knows
+#: more of: a row may be as old as the first of many requests.
+UNKNOWN_DEMAND_FACTOR: Final = 4
 #: No incarnation is known.
 NO_INCARNATIONS: Final[Set[str]] = frozenset()
 
@@ -103,7 +106,8 @@
 
     Routers that are not known to be running may have written more after the
     copy was made, which this one did not see. They are charged by their demand
-    in that time, as far as it is free.
+    in that time, as far as it is free; by a multiple of it if this process
+    knows nothing from before either.
 
     :param ledger: the budget, with what is known merged into it.
     :param era: era of the store.
@@ -113,6 +117,8 @@
         return ledger
     free = max(0, ledger.count_free())
     unseen_s = min(MAX_COPY_AGE_S, max(0, era.unseen_s))
+    if era.is_first:
+        unseen_s *= UNKNOWN_DEMAND_FACTOR
     rows = dict(ledger.rows)
     for name in sorted(rows.keys() - era.live):
         more = min(free, round(unseen_s * rows[name].demand))
--- a/tests/unit/test_ledger_merge.py
+++ b/tests/unit/test_ledger_merge.py
@@ -84,6 +84,17 @@
     assert settled.rows['a'].limit == row.limit + 10
 
 
+def test_ended_routers_of_a_copy_that_is_all_there_is_are_charged_more() -> (
+    None
+):
+    row = make_row('i', 100, 80, demand=4)
+    era = StoreEra(3, unseen_s=5)
+    known = settle_ledger(make_ledger(a=row), era)
+    unknown = settle_ledger(make_ledger(a=row), era._replace(is_first=True))
+    assert known.rows['a'].limit == row.limit + 20
+    assert unknown.rows['a'].limit == row.limit + 80
+
+
 def test_no_more_is_charged_than_is_free() -> None:
     row = make_row('i', 400, 80, demand=900)
     ledger = make_ledger(a=row, b=row)
