Tests: streams after a loss of all routers are measured once routers serve

Cause, traced before: its routers were killed each 2.3 s and had not started by then, the next process wrote its first line 11.6 s after the kill, so no router served at all, while streams begun before the first kill counted as new ones that begin. Change: a loss is over when all routers are ready, and the next comes after that, so each loss strikes routers that serve. New streams count from the first try that takes a stream up, so both shares are of the same time. Why this is as strict: bounds, losses, numbers of streams and the share that has to go on are as before. The rate that resumed streams are compared with no longer holds streams of the calm time before, nor does it miss any of the time in which streams were taken up.

--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -59,8 +59,10 @@
 
 
 def compute_share_begun(streams: list[Stream]) -> float:
+    """Compute the share of new streams that begin, once some are taken up."""
     tries = [one for stream in streams for one in stream.tries]
-    new = [one for one in tries if not one.resumes]
+    since = min(one.at for one in tries if one.resumes)
+    new = [one for one in tries if not one.resumes and one.at >= since]
     return sum(one.events > 0 for one in new) / len(new)
 
 
@@ -75,11 +77,14 @@
 
 
 def kill_all(deployment: Deployment) -> None:
+    """Lose all routers; returns when they serve again."""
     for name in deployment.names:
         deployment.processes.kill(name)
     time.sleep(DOWN_S)
     for name in deployment.names:
         deployment.start_router(name)
+    for name in deployment.names:
+        deployment.wait_ready(name)
 
 
 def kill_most(deployment: Deployment) -> None:
