Loans: an owner that has just started reads the budget before it lends ahead

Cause: what is lent in advance is bounded by what deaths may cost, which the owner computes from the budget; one that has not read it yet lent whatever was asked for, and got that from the store within the same call. Ruled out: to lend nothing ahead while the budget is unknown, after which the borrower waits 4 s until it asks again. Change: who is asked as the owner, and does not know the budget, searches for what requests wait for first, which reads it; then it computes the loan. Test: test_an_owner_that_has_just_started_lends_what_may_be_lost failed before (2,002,000 tokens for 2,000) and passes; a mutant, caught. The other 17 tests of loans pass.

--- a/src/dykemast/_internal/serving/tokens/lending.py
+++ b/src/dykemast/_internal/serving/tokens/lending.py
@@ -109,8 +109,12 @@
         :returns: number of tokens.
         """
         account = self._budgets.get_account(request.workspace)
+        acts_as_owner = is_large_fleet(self._board) and request.as_owner
+        if acts_as_owner and account.ledger is None:
+            # The budget limits what may be lent in advance.
+            await self._refill(account, max(1, request.missing))
         wanted = max(0, _count_wanted(account, request) - unconfirmed)
-        if is_large_fleet(self._board) and request.as_owner:
+        if acts_as_owner:
             await self._refill(account, wanted)
         given = account.allowance.lend(wanted)
         record_loan(account, request.borrower, given)
--- a/tests/unit/test_late_loans.py
+++ b/tests/unit/test_late_loans.py
@@ -3,9 +3,12 @@
 import asyncio
 
 from dykemast._internal.models.budget_ledger import BudgetLedger
+from dykemast._internal.models.fleet import LoanAnswer, LoanRequest
 from dykemast._internal.operations.spare_size import LOSS_SHARE
 from dykemast._internal.serving.state.board import mark_silent
 from dykemast._internal.serving.tokens.budget_owners import find_owner
+from dykemast._internal.serving.tokens.lending import Lender
+from dykemast._internal.utils.packing import pack, unpack
 from tests.lib.lending_fleet import NAME, LendingFleet, count_unarrived
 
 PREPAID = 4_000_000
@@ -65,6 +68,34 @@
         assert await fleet.ask(borrower, TOKENS)
 
 
+async def borrow_half(fleet: LendingFleet) -> int:
+    """Ask the owner for half of the budget; returns what it lends."""
+    borrower = fleet.choose_borrower()
+    owner = find_owner(fleet.upkeeps[borrower].board, NAME)
+    assert owner is not None
+    request = LoanRequest(
+        workspace=NAME,
+        missing=TOKENS,
+        spare=PREPAID // 2,
+        borrower=borrower,
+        incarnation=borrower,
+        lender=owner.incarnation,
+        received=0,
+        as_owner=True,
+    )
+    parts = fleet.upkeeps[owner.instance]
+    lender = Lender(parts.board, parts.budgets, parts.search)
+    return unpack(await lender.borrow(pack(request)), LoanAnswer).total
+
+
+async def test_an_owner_that_has_just_started_lends_what_may_be_lost() -> None:
+    lost = int(LOSS_SHARE * PREPAID)
+    ledger = BudgetLedger(1, PREPAID, {}, closed=lost, closed_spare=lost)
+    fleet = LendingFleet(PREPAID, ledger)
+    async with fleet.run():
+        assert await borrow_half(fleet) == TOKENS
+
+
 async def test_a_router_of_the_build_before_lends() -> None:
     fleet = LendingFleet(PREPAID)
     borrower = fleet.choose_borrower()
--- a/tools/fleet_mutations.py
+++ b/tools/fleet_mutations.py
@@ -202,6 +202,14 @@
         'is_owner(self._board, request.workspace)',
         'test_late_loans',
     ),
+    Mutation(
+        'lend in advance before the budget is read',
+        'what is lent is bounded by what may be lost',
+        f'{_INTERNAL}/serving/tokens/lending.py',
+        'if acts_as_owner and account.ledger is None:',
+        'if False:',
+        'test_an_owner_that_has_just_started',
+    ),
     Mutation(
         'write an empty budget for each request',
         'calls to the store stay few',
