Soak: a large fleet with several workspaces, and servers without end

What was missed: the soak had three routers and one workspace, so no budget had an owner and no tokens were lent; routers lost links to servers and to the store, never to each other; no server's bytes had no end. Change: plans from seed 10,000,000 on have 24 routers, which count as a large fleet, and four workspaces, the callers of one of which prefer one router. Links between routers are silent or slow (0.5 s), for half or all of them, in series and overlapping, for half of the seeds the preferred router's for the whole run; beside that links to the store, the store, kills, stops and a server that rejects or answers with interim responses without end. Two promises are new: each workspace consumes no more than it paid (before: all together, which is the same for one), and none that has tokens is served under a quarter as often as all requests. Plans of earlier seeds stay as they are.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -23,6 +23,8 @@
 VERSION_SEED = 6_000_001
 #: A part of prompts that crashes servers, while all routers are lost twice.
 PART_SEED = 7_000_004
+#: A large fleet whose routers are cut from each other, and a slow link.
+LARGE_SEED = 10_000_010
 
 
 def read_seeds() -> list[int]:
@@ -78,5 +80,9 @@
     check_seed(ONE_SERVER_SEED)
 
 
+def test_a_seed_with_a_large_fleet_keeps_the_promises() -> None:
+    check_seed(LARGE_SEED)
+
+
 def test_a_seed_with_a_crashing_part_keeps_the_promises() -> None:
     check_seed(PART_SEED)
--- a/tests/lib/users_objects.py
+++ b/tests/lib/users_objects.py
@@ -76,16 +76,25 @@
         },
         'tenants': [
             {
-                'name': 'joinville',
-                'apiKeys': list(keys),
-                'priority': 1,
-                'prepaid': prepaid,
+                **make_workspace('joinville', prepaid, keys),
                 **added.get('workspace', {}),
-            }
+            },
+            *added.get('workspaces', ()),
         ],
     }
 
 
+def make_workspace(
+    name: str, prepaid: int, keys: tuple[str, ...]
+) -> dict[str, Any]:
+    return {
+        'name': name,
+        'apiKeys': list(keys),
+        'priority': 1,
+        'prepaid': prepaid,
+    }
+
+
 def make_server(
     name: str, port: int, hall: str = HALL, version: str = VERSION
 ) -> list[Any]:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,7 +11,13 @@
 from tests.soak.entries import EntryBook
 from tests.soak.exchange import Answer, Request, exchange
 from tests.soak.kept import Kept
-from tests.soak.requests import draw_request, make_fields, take_up
+from tests.soak.requests import (
+    USUAL_PAYER,
+    Payer,
+    draw_request,
+    make_fields,
+    take_up,
+)
 from tests.soak.seen import LEFT, UNREACHED, WHOLE, Seen
 
 #: Tries of one request, and seconds between them if nothing else is told.
@@ -53,7 +59,9 @@
 class Caller:
     """Sends one request after the other, and keeps connections."""
 
-    def __init__(self, deployment: Deployment, number: int) -> None:
+    def __init__(
+        self, deployment: Deployment, number: int, payer: Payer
+    ) -> None:
         self.seen: list[Seen] = []
         self._chance = random.Random(number)
         self._manner = MANNERS[number % len(MANNERS)]
@@ -62,7 +70,9 @@
             self._chance,
             EntryBook(deployment, self._chance, self._manner.keeps_for),
             sticks=self._manner.sticks,
+            home=payer.home,
         )
+        self._payer = payer
 
     def run(self, ending: threading.Event) -> None:
         while not ending.is_set():
@@ -87,7 +97,7 @@
         router = self._kept.choose_router()
         if fresh:
             self._kept.drop(router)
-        fields = make_fields(request)
+        fields = make_fields(request, self._payer.key)
         at = time.monotonic()
         answer = Answer(UNREACHED)
         if router:
@@ -109,6 +119,7 @@
             request.events,
             request.after,
             request.resumes,
+            self._payer.workspace,
         )
         self.seen.append(seen)
         return answer
@@ -117,12 +128,19 @@
 class Callers:
     """Threads of callers."""
 
-    def __init__(self, deployment: Deployment, seed: int, count: int) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: int,
+        count: int,
+        payers: tuple[Payer, ...] = (USUAL_PAYER,),
+    ) -> None:
         self._ending = threading.Event()
         self._pool = ThreadPoolExecutor(count)
         self._running: list[Future[None]] = []
         self._callers = [
-            Caller(deployment, number) for number in range(seed, seed + count)
+            Caller(deployment, number, payers[number % len(payers)])
+            for number in range(seed, seed + count)
         ]
 
     def start(self) -> None:
--- a/tests/soak/kept.py
+++ b/tests/soak/kept.py
@@ -18,6 +18,7 @@
     :param entries: tells where to go.
     :param sticks: whether connections are used that the entry's last answer
         does not name.
+    :param home: router that is preferred while it takes connections.
     """
 
     def __init__(
@@ -27,11 +28,13 @@
         entries: EntryBook,
         *,
         sticks: bool,
+        home: str = '',
     ) -> None:
         self._deployment = deployment
         self._chance = chance
         self._entries = entries
         self._sticks = sticks
+        self._home = home
         self._open: dict[str, Connection] = {}
 
     def choose_router(self) -> str:
@@ -41,6 +44,8 @@
             unnamed = not self._sticks and router not in named
             if unnamed or not is_usable(self._open[router]):
                 self.drop(router)
+        if self._home in named:
+            return self._home
         if self._open and self._chance.random() < KEPT_SHARE:
             return self._chance.choice(list(self._open))
         return self._chance.choice(named) if named else ''
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from tests.lib.users_objects import FOREIGN
-from tests.soak import copies, halls
+from tests.soak import copies, halls, large
 from tests.soak.asks import draw_asks
 from tests.soak.crashes import BY_PART
 from tests.soak.faults import Fault
@@ -43,7 +43,9 @@
 FIRST_WITH_RETURNS = 8_000_000
 #: Plans from this one on have links to all servers that open and do not last.
 FIRST_WITH_OPENING_LINKS = 9_000_000
-LAST_SEED = 10_000_000
+#: Plans from this one on have a large fleet and several workspaces.
+FIRST_WITH_LARGE_FLEETS = 10_000_000
+LAST_SEED = 11_000_000
 SERVERS = ('engine-0', 'engine-1', 'plain-0')
 STORE_FAULTS = ('away', 'silent', 'lose', 'deaf')
 CHANGES = ('raise', 'lower', 'routes')
@@ -68,6 +70,10 @@
 def _draw_special(chance: random.Random, seed: int, size: Size) -> list[Fault]:
     """Draw a plan of one of the later kinds."""
     kinds: tuple[tuple[int, Draw], ...] = (
+        (
+            FIRST_WITH_LARGE_FLEETS,
+            lambda: large.draw_large(chance, size, FAULT_TIME),
+        ),
         (
             FIRST_WITH_OPENING_LINKS,
             lambda: draw_partitions(chance, size, FAULT_TIME, OPENING_MODES),
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from tests.soak import partitions, versions
+from tests.soak import large, partitions, versions
 from tests.soak.asks import find_unheeded
 from tests.soak.callers import NOT_RUN
 from tests.soak.changes import find_outdated
@@ -12,7 +12,7 @@
 from tests.soak.losses import find_idle_work, find_losses, find_overstays
 from tests.soak.returns import find_absence, find_late_sends, find_storms
 from tests.soak.seen import WHOLE, Seen, Witness
-from tests.soak.spending import count_spent, list_runs
+from tests.soak.spending import list_runs
 
 #: A route that some changes remove; none brings it back.
 ORDERS = '/order/1'
@@ -24,12 +24,6 @@
         yield from find(witness)
 
 
-def _find_overspend(witness: Witness) -> Iterator[str]:
-    total = count_spent(witness)
-    if total > witness.prepaid:
-        yield f'overspend: {total} of {witness.prepaid} tokens'
-
-
 def _find_repeats(witness: Witness) -> Iterator[str]:
     counts = Counter(run['id'] for run in list_runs(witness))
     paths = {run['id']: run['path'] for run in list_runs(witness)}
@@ -85,7 +79,8 @@
 
 #: Each finds where one promise was broken.
 PROMISES = (
-    _find_overspend,
+    large.find_overspent,
+    large.find_short,
     _find_repeats,
     _find_wrong_answers,
     _find_rollbacks,
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -10,6 +10,9 @@
 MODES = ('delay', 'reset', 'silent', 'one_way')
 #: Connections that are open say nothing any more, for good; new ones work.
 STALE = 'stale'
+#: Requests are answered by interim responses without end.
+ENDLESS = 'endless'
+_INTERIM = b'HTTP/1.1 102 Processing\r\n\r\n' * 1000
 CHUNK = 65536
 
 
@@ -32,7 +35,7 @@
             self._stale |= self._open
             return
         self.mode = mode
-        if mode == 'reset':
+        if mode in {'reset', ENDLESS}:
             for writer in tuple(self._open):
                 writer.transport.abort()
 
@@ -40,6 +43,9 @@
         if self.mode == 'reset':
             writer.transport.abort()
             return
+        if self.mode == ENDLESS:
+            await _answer_without_end(reader, writer)
+            return
         with contextlib.suppress(OSError):
             far_reader, far_writer = await asyncio.open_connection(
                 '127.0.0.1', self.target
@@ -73,3 +79,12 @@
         if writer in self._stale:
             return not writer.transport.is_closing()
         return self.mode == 'silent' or (self.mode == 'one_way' and back)
+
+
+async def _answer_without_end(reader: Any, writer: Any) -> None:
+    with contextlib.suppress(OSError):
+        if await reader.read(CHUNK):
+            while not writer.transport.is_closing():
+                writer.write(_INTERIM)
+                await writer.drain()
+    writer.transport.abort()
--- a/tests/soak/reports.py
+++ b/tests/soak/reports.py
@@ -17,7 +17,23 @@
     faults = Counter(fault.kind for fault in plan)
     ends = Counter(map(_tell_end, witness.seen))
     requests = len(witness.seen)
-    return f'{_list_counts(faults)}; {requests} requests: {_list_counts(ends)}'
+    words = [
+        _list_counts(faults),
+        f'{requests} requests: {_list_counts(ends)}',
+        *_list_served(witness.seen),
+    ]
+    return '; '.join(words)
+
+
+def _list_served(seen: list[Seen]) -> list[str]:
+    """Count the streams that were served, if several workspaces have paid."""
+    streams = [one for one in seen if one.events]
+    asked = Counter(one.workspace for one in streams)
+    served = Counter(one.workspace for one in streams if one.status == 200)
+    if len(asked) < 2:
+        return []
+    counts = (f'{name} {served[name]} of {asked[name]}' for name in asked)
+    return ['streams served', *counts]
 
 
 def _tell_end(one: Seen) -> str:
--- a/tests/soak/requests.py
+++ b/tests/soak/requests.py
@@ -3,7 +3,7 @@
 import random
 import re
 import uuid
-from typing import Any
+from typing import Any, NamedTuple
 
 from tests.lib.users_objects import HOST, KEY
 from tests.soak.exchange import Answer, Request
@@ -29,6 +29,23 @@
 _EVENT = re.compile(rb'id: (\d+)\ndata: [^\n]*\n\n')
 
 
+class Payer(NamedTuple):
+    """Who pays for the requests of a caller.
+
+    :param workspace: its name.
+    :param key: its key.
+    :param home: router that its callers prefer; empty for none.
+    """
+
+    workspace: str = 'joinville'
+    key: str = KEY
+    home: str = ''
+
+
+#: The only one in most plans.
+USUAL_PAYER = Payer()
+
+
 def draw_request(chance: random.Random, leaving: float) -> Request:
     """Draw a request; a share of them is left midway."""
     path = _draw(chance, PLAIN_PATHS)
@@ -46,13 +63,13 @@
     return chance.choices(options, weights)[0]
 
 
-def make_fields(request: Request) -> dict[str, str]:
+def make_fields(request: Request, key: str = KEY) -> dict[str, str]:
     """Make the header fields of one try."""
     fields = {
         'Host': HOST,
         'X-Attempt-Id': uuid.uuid4().hex,
         'X-Deadline-Ms': str(round(request.time_left * 1000)),
-        'Authorization': f'Token {KEY}',
+        'Authorization': f'Token {key}',
     }
     if request.events:
         fields['X-Token-Usage'] = f'{PROMPT_TOKENS},{request.events}'
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,7 +3,7 @@
 import time
 from typing import NamedTuple
 
-from tests.soak import callers, crashes, halls, partitions, versions
+from tests.soak import callers, crashes, halls, large, partitions, versions
 from tests.soak.faults import Fault
 from tests.soak import plan as plans
 from tests.soak.probes import (
@@ -39,15 +39,12 @@
 
 def run_seed(seed: int, size: Size = SMALL) -> Outcome:
     """Play a seed."""
-    if seed >= plans.FIRST_WITH_VERSIONS:
-        size = versions.choose_size(size)
+    size = _choose_size(seed, size)
     plan = plans.make_plan(seed, size)
     world = World(size, _choose_prepaid(seed))
     _prepare(world, seed)
     world.start()
-    witness = _watch(
-        world, plan, callers.Callers(world.deployment, seed, size.callers)
-    )
+    witness = _watch(world, plan, _make_callers(world, seed, size))
     broken = list(find_broken(witness))
     if not wait_served(world):
         broken.append('no router serves after all faults have ended')
@@ -57,11 +54,24 @@
     return Outcome(broken, summarize(plan, witness))
 
 
+def _choose_size(seed: int, size: Size) -> Size:
+    if seed >= plans.FIRST_WITH_LARGE_FLEETS:
+        return size._replace(routers=max(large.ROUTERS, size.routers))
+    if seed >= plans.FIRST_WITH_VERSIONS:
+        return versions.choose_size(size)
+    return size
+
+
+def _make_callers(world: World, seed: int, size: Size) -> callers.Callers:
+    payers = large.list_payers(several=seed >= plans.FIRST_WITH_LARGE_FLEETS)
+    return callers.Callers(world.deployment, seed, size.callers, payers)
+
+
 def _prepare(world: World, seed: int) -> None:
     """Set what the deployment of a seed's kind has."""
     if plans.FIRST_WITH_HALLS <= seed < plans.FIRST_WITH_ASKS:
         world.deployment.halls = dict(halls.HALLS)
-        world.engine_service = dict(halls.SERVICE)
+        world.configured['engine_service'] = dict(halls.SERVICE)
     elif plans.FIRST_WITH_CRASHES <= seed < plans.FIRST_WITH_HALLS:
         # A process that stands still is then a machine that is suspended.
         world.deployment.router_module = 'tests.lib.suspended_router'
@@ -80,6 +90,10 @@
         versions.prepare(world.deployment)
     if has_parts:
         crashes.prepare(world.deployment)
+    if seed >= plans.FIRST_WITH_LARGE_FLEETS:
+        world.configured['workspaces'] = large.list_workspaces(
+            _choose_prepaid(seed)
+        )
 
 
 def _watch(world: World, plan: list[Fault], asking: callers.Callers) -> Witness:
--- a/tests/soak/seen.py
+++ b/tests/soak/seen.py
@@ -35,6 +35,7 @@
     :param events: of a stream that is whole.
     :param after: last event that the caller had before.
     :param resumes: request that brought its first event; empty if this one did.
+    :param workspace: whose key it had.
     """
 
     at: float
@@ -49,6 +50,7 @@
     events: int = 0
     after: int = 0
     resumes: str = ''
+    workspace: str = 'joinville'
 
 
 class Witness(NamedTuple):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -40,8 +40,8 @@
         self.left_at: dict[str, float] = {}
         #: What servers saw that were replaced, by name.
         self.ended_servers: list[tuple[str, Fields]] = []
-        #: What the configuration says of the engines' service besides.
-        self.engine_service: Fields = {}
+        #: What the configuration holds besides.
+        self.configured: Fields = {}
         self.history = History()
         self._links = Links()
         self._version = 1
@@ -64,9 +64,7 @@
         for router in self.deployment.names:
             opened = self._links.open(router, ports['store'])
             self.deployment.store_ports[router] = opened
-        self.deployment.start(
-            prepaid=self._prepaid, engine_service=self.engine_service
-        )
+        self.deployment.start(prepaid=self._prepaid, **self.configured)
 
     def strike(self, fault: Fault) -> None:
         """Bring a fault about; its end comes by itself."""
@@ -161,6 +159,11 @@
         partitions.set_links(self.deployment, fault.target, fault.how)
         self._later(fault.lasts, self._mend_links, fault.target, end)
 
+    def _apart(self, fault: Fault) -> None:
+        end = self.history.begin('apart', fault.target)
+        partitions.set_links(self.deployment, fault.target, fault.how)
+        self._later(fault.lasts, self._mend_links, fault.target, end)
+
     def _mend_links(self, router: str, end: End) -> None:
         partitions.set_links(self.deployment, router)
         end()
@@ -236,7 +239,7 @@
             self._version,
             max(1000, self._prepaid),
             self._routes,
-            engine_service=self.engine_service,
+            **self.configured,
         )
         end = self.history.begin('configure', 'store')
         self.deployment.control('store', put=[['config', 'main', spec]])
--- a/tests/unit/test_soak_promises.py
+++ b/tests/unit/test_soak_promises.py
@@ -347,3 +347,36 @@
     assert judge(make_seen(), events=[early, STOP, over])
     late = Event('freeze', ROUTER, 15, 17.5)
     assert not judge(make_seen(), events=[STOP, late, over])
+
+
+def make_streams(workspace: str, served: int, refused: int) -> list[Seen]:
+    return [
+        make_stream(number, 'x')._replace(
+            workspace=workspace,
+            request_id=f'{workspace}{number}',
+            status=200 if number < served else 429,
+        )
+        for number in range(served + refused)
+    ]
+
+
+def test_a_workspace_that_is_served_far_less_often_is_found() -> None:
+    many = make_streams('joinville', 100, 0)
+    assert not judge(*many, *make_streams('lages', 10, 10))
+    short = make_streams('lages', 2, 28)
+    assert len(judge(*many, *short)) == 1
+    # It may have consumed what it paid for.
+    run = make_run('lages0', headers={'x-token-usage': '600,5'})
+    assert not judge(*many, *short, runs={ENGINE: [run]})
+
+
+def test_what_one_workspace_has_paid_is_not_for_another() -> None:
+    one = make_streams('joinville', 1, 0)
+    seen = one + make_streams('lages', 1, 0)
+    usage = {'x-token-usage': '900,5'}
+    runs = [
+        make_run(f'{name}0', headers=usage) for name in ('joinville', 'lages')
+    ]
+    assert not judge(*seen, runs={ENGINE: runs})
+    runs.append(make_run('of-nobody', headers=usage))
+    assert len(judge(*seen, runs={ENGINE: runs})) == 1
