Loans: an owner that knows few routers yet acts as the owner

What callers saw: right after the start of 24 routers, 429 budget_held with all of 300,000 prepaid tokens free; each router then refuses for 0.5 s, as it has noted a shortage. Cause: a fleet counts as large from 20 peers on. While routers start, they learn of each other one by one, so a borrower may know 20 peers and the owner 18. The owner then lent as in a small fleet, where each router writes its own row: only what it had, nothing, at once. That counted as the owner's answer, which ends the search. Read in the lines of both ends: tokens_lent with room 0 and as_owner true, one millisecond after the request, 18 peer_new lines before it. Change: who is asked as the owner acts as one, whatever number of routers it knows. The comment on the borrowing call in the interface named a file that is not there.

--- a/src/dykemast/_internal/network/fleet.thrift
+++ b/src/dykemast/_internal/network/fleet.thrift
@@ -13,7 +13,7 @@
         4: i64 spare)
         throws (1: Refused no),
     // Lends tokens of a workspace's budget. The bodies are a request and an answer
-    // of models/loans.py; a request may be repeated until it is answered.
+    // of models/fleet.py; a request may be repeated until it is answered.
     binary borrow(1: binary loan) throws (1: Refused no),
     // Returns unused tokens of a workspace's budget permanently; the result is
     // the number of tokens accepted.
--- a/src/dykemast/_internal/serving/sending/server_connections.py
+++ b/src/dykemast/_internal/serving/sending/server_connections.py
@@ -22,8 +22,6 @@
 tunnel_socket: Final[ContextVar[Tunnel | None]] = ContextVar(
     'tunnel_socket', default=None
 )
-
-
 #: Bytes that may arrive between two parts of a body, or before the head: those
 #: of heads, interim responses and the framing of chunks.
 MAX_FRAMING_BYTES: Final = 131_072
--- a/src/dykemast/_internal/serving/tokens/lending.py
+++ b/src/dykemast/_internal/serving/tokens/lending.py
@@ -61,7 +61,7 @@
             incarnation=borrower,
             lender=self._board.incarnation,
             received=0,
-            as_owner=is_owner(self._board, workspace),
+            as_owner=_acts_as_owner(self._board, workspace),
         )
         return await self._grant(request, unconfirmed=0)
 
@@ -109,12 +109,13 @@
         :returns: number of tokens.
         """
         account = self._budgets.get_account(request.workspace)
-        acts_as_owner = is_large_fleet(self._board) and request.as_owner
-        if acts_as_owner and account.ledger is None:
+        # While routers start, the lender may know too few of them to take the
+        # fleet for a large one, as the borrower does.
+        if request.as_owner and account.ledger is None:
             # The budget limits what may be lent in advance.
             await self._refill(account, max(1, request.missing))
         wanted = max(0, _count_wanted(account, request) - unconfirmed)
-        if acts_as_owner:
+        if request.as_owner:
             await self._refill(account, wanted)
         given = account.allowance.lend(wanted)
         record_loan(account, request.borrower, given)
@@ -138,6 +139,10 @@
             await self._search.refill(account, wanted, spare=spare)
 
 
+def _acts_as_owner(board: ServingBoard, workspace: str) -> bool:
+    return is_large_fleet(board) and is_owner(board, workspace)
+
+
 def _count_wanted(account: Account, request: LoanRequest) -> int:
     """Count the tokens that a request should bring."""
     demand = account.demand.compute_window_average(read_clock())
--- a/tests/lib/endless_server.py
+++ b/tests/lib/endless_server.py
@@ -37,10 +37,16 @@
 BODY = Answer(HEAD, CHUNK)
 
 
-#: A long answer whose chunks are as small as the framing allows.
+#: A long answer whose chunks are as small as the framing allows, then large.
 SMALL_CHUNK: bytes = b'1\r\nx\r\n'
-BODY_BYTES = 1_000_000
-LONG_BODY = b'%s%s0\r\n\r\n' % (HEAD, SMALL_CHUNK * BODY_BYTES)
+SMALL_CHUNKS = 1_000_000
+LARGE_CHUNKS = 64
+BODY_BYTES = SMALL_CHUNKS + LARGE_CHUNKS * BLOCK_BYTES
+LONG_BODY = b'%s%s%s0\r\n\r\n' % (
+    HEAD,
+    SMALL_CHUNK * SMALL_CHUNKS,
+    CHUNK * LARGE_CHUNKS,
+)
 
 
 class EndlessServer:
--- a/tests/unit/test_late_loans.py
+++ b/tests/unit/test_late_loans.py
@@ -5,7 +5,10 @@
 from dykemast._internal.models.budget_ledger import BudgetLedger
 from dykemast._internal.models.fleet import LoanAnswer, LoanRequest
 from dykemast._internal.operations.spare_size import LOSS_SHARE
-from dykemast._internal.serving.state.board import mark_silent
+from dykemast._internal.serving.state.board import (
+    LARGE_FLEET_ROUTERS,
+    mark_silent,
+)
 from dykemast._internal.serving.tokens.budget_owners import find_owner
 from dykemast._internal.serving.tokens.lending import Lender
 from dykemast._internal.utils.packing import pack, unpack
@@ -96,6 +99,18 @@
         assert await borrow_half(fleet) == TOKENS
 
 
+async def test_an_owner_that_knows_few_routers_yet_lends() -> None:
+    fleet = LendingFleet(PREPAID)
+    borrower = fleet.choose_borrower()
+    owner = find_owner(fleet.upkeeps[borrower].board, NAME)
+    assert owner is not None
+    peers = fleet.upkeeps[owner.instance].board.peers
+    for name in list(peers)[LARGE_FLEET_ROUTERS - 1 :]:
+        peers.pop(name)
+    async with fleet.run():
+        assert await fleet.ask(borrower, TOKENS)
+
+
 async def test_a_router_of_the_build_before_lends() -> None:
     fleet = LendingFleet(PREPAID)
     borrower = fleet.choose_borrower()
