Comments: constants keep their reason and lose the figures behind it

What a reader saw: 28 comments in 24 modules told how a value came about: what a call takes, how often an entry is written, what was refused with another one. Cause: they were written where the values were found, and told that as well. Change: each keeps the reason for the constant in a few words; three that only told figures now say what the constant is for. No statement changes: the diff holds comment lines alone.

--- a/src/dykemast/_internal/controllers/runtime.py
+++ b/src/dykemast/_internal/controllers/runtime.py
@@ -17,8 +17,7 @@
 
 _log = logbook.Logger('router')
 
-#: Listeners send pending responses and close idle connections; they check
-#: every 0.1 s whether to stop, and wait 0.1 s.
+#: For listeners to send pending responses and to close idle connections.
 CLOSE_TIMEOUT_S: Final = 1.0
 #: Attempts to return all leases at a planned stop.
 CLOSE_ATTEMPTS: Final = 5
--- a/src/dykemast/_internal/operations/engine_pauses.py
+++ b/src/dykemast/_internal/operations/engine_pauses.py
@@ -11,8 +11,8 @@
 
 from dykemast._internal.models.backend import LongPauses
 
-#: Part of a route's objective below which a pause is ignored: pauses last about
-#: a tenth of the objective without a long prompt, and about the whole with one.
+#: Part of a route's objective below which a pause is ignored: only those beside
+#: a long prompt last longer.
 MIN_PAUSE_SHARE: Final = 0.7
 #: Time in which counts decay to about a third. An engine that was slow for a
 #: while is tried again, and several long prompts arrive within it.
--- a/src/dykemast/_internal/operations/event_loop_monitor.py
+++ b/src/dykemast/_internal/operations/event_loop_monitor.py
@@ -17,8 +17,7 @@
 #: does not count as overloaded.
 MAX_OVERRUN_S: Final = 0.6
 #: Lag above which a router counts as overloaded: each event of a stream is then
-#: later than the 0.12 to 0.2 s that users allow, and a read of the store takes
-#: 2 s of event loop turns.
+#: later than users allow.
 MAX_LATENESS_S: Final = 0.2
 
 
--- a/src/dykemast/_internal/operations/freshness.py
+++ b/src/dykemast/_internal/operations/freshness.py
@@ -8,9 +8,8 @@
 
 from typing import Final, NamedTuple
 
-#: Seconds without an answer after which a read is late and is retried: the
-#: slowest store in use takes 0.24 s, and a read that starts at an age of 1.4 s
-#: has to end within 2 s.
+#: Seconds without an answer after which a read is late and is retried, longer
+#: than a slow store takes.
 LATE_READ_S: Final = 0.3
 #: Iterations of the event loop for one call over a new connection, which takes
 #: more of them than an open one. The lateness of each adds to that of a read.
--- a/src/dykemast/_internal/operations/peer_loads.py
+++ b/src/dykemast/_internal/operations/peer_loads.py
@@ -6,8 +6,7 @@
 from dykemast._internal.models.gossip import RelayedLoads, ServerLoad
 
 #: Bounds for the loads that one gossip message relays: number of routers, and
-#: age. With six exchanges in each round of 0.2 s, the load of one router
-#: reaches most routers of a large fleet within three rounds.
+#: age. Relayed, a load reaches most routers of a large fleet within few rounds.
 MAX_RELAYED_ROUTERS: Final = 24
 MAX_RELAY_AGE_S: Final = 1.0
 #: Age at which the load of a peer is ignored: ten gossip rounds, and about the
--- a/src/dykemast/_internal/operations/planned_stop.py
+++ b/src/dykemast/_internal/operations/planned_stop.py
@@ -13,11 +13,10 @@
 #: Time that an entry response takes to its caller, and the notice of the stop
 #: to the routers that give such responses, also under load.
 NOTICE_TIME_S: Final = 0.2
-#: For the last return of tokens: a write takes 4 ms, 0.3 s when the store is
-#: slow.
+#: For the last return of tokens: one write to a slow store.
 LAST_RETURN_TIME_S: Final = 0.3
-#: For listeners to close the connections of callers: they poll every 0.1 s
-#: whether to close, and wait 0.1 s for responses being sent.
+#: For listeners to close the connections of callers: they poll whether to
+#: close, and wait for responses being sent.
 CLOSE_TIME_S: Final = 0.25
 #: From the last log line to the exit of the process on a busy machine.
 EXIT_TIME_S: Final = 0.2
--- a/src/dykemast/_internal/operations/server_choice.py
+++ b/src/dykemast/_internal/operations/server_choice.py
@@ -3,16 +3,14 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple, TypeVar
 
-#: Cost of a running stream, in prompt tokens: each makes a decoding step about
-#: 2 % longer, over the few hundred tokens of a response.
+#: Cost of a running stream, in prompt tokens: each makes a decoding step a
+#: little longer.
 TOKENS_PER_RUNNING_STREAM: Final = 250
 #: Prompt tokens that an engine prefills in one step, which also decodes one
-#: token of each running stream. An event of three tokens stays in time with two
-#: such steps; a longer prompt delays all three.
+#: token of each running stream. A longer prompt delays several of these.
 PREFILL_CHUNK_TOKENS: Final = 2048
 #: Prompt tokens that a long prompt waits for rather than delay one stream
-#: beyond its objective. A prompt that waits for six times as many misses its
-#: own objective, which costs six times as much.
+#: beyond its objective: one that waits for far more misses its own objective.
 TOKENS_PER_LATE_STREAM: Final = 4400
 #: Additional weight of shared tokens without a cache entry: what one engine has
 #: cached, another one should not prefill again.
--- a/src/dykemast/_internal/path/gates.py
+++ b/src/dykemast/_internal/path/gates.py
@@ -10,8 +10,8 @@
 
 from dykemast._internal.path.waiting import Waiter, WaitingQueue
 
-#: Share of the timeout that the estimated wait may take. The estimate is a
-#: mean: at a share of 1, half of the last requests would time out.
+#: Share of the timeout that the estimated wait may take: the estimate is a
+#: mean, and many requests wait longer.
 MAX_WAIT_SHARE: Final = 0.6
 #: Weight of a new duration in the running mean.
 DURATION_WEIGHT: Final = 0.05
--- a/src/dykemast/_internal/path/holds.py
+++ b/src/dykemast/_internal/path/holds.py
@@ -15,8 +15,7 @@
 
 _log = logbook.Logger('hold')
 
-#: With a slow platform (0.6 s a call), a shard owner that times out and two
-#: calls of this router take 2 s; a timeout of 2 s refused such requests.
+#: Covers a shard owner that times out, and two calls to a slow platform.
 HOLD_TIMEOUT_S: Final = 4.0
 
 
--- a/src/dykemast/_internal/serving/choice/outcomes.py
+++ b/src/dykemast/_internal/serving/choice/outcomes.py
@@ -11,8 +11,8 @@
 
 _log = make_logger('route')
 
-#: Time for which an absent server gets no requests. Its entry expires after
-#: three missed heartbeats of 1.2 s, and a restarted server has another id.
+#: Time for which an absent server gets no requests. Its entry expires within
+#: that, and a restarted server has another id.
 ABSENT_TIME_S: Final = 4.0
 #: Interval of pruning. Each incarnation of a server has another name, so the
 #: state of earlier ones would accumulate; one prompt cache holds up to as many
--- a/src/dykemast/_internal/serving/knowledge/backends.py
+++ b/src/dykemast/_internal/serving/knowledge/backends.py
@@ -19,12 +19,12 @@
 _log = make_logger('backends')
 
 #: Seconds without a listing by any live router after which the store counts as
-#: having been unavailable: listings are at most 1.6 s apart, and entries expire
-#: after 3.6 s of an outage.
+#: having been unavailable: longer than listings are apart, and shorter than the
+#: life of an entry.
 STORE_OUTAGE_GAP_S: Final = 2.5
 #: Seconds for which a server is kept whose entry expired during the outage, or
 #: is not in the copy that the store returned from: running servers are listed
-#: again within about 2 s.
+#: again within that time.
 EXPIRED_GRACE_S: Final = 2.0
 #: Seconds between two checks for these.
 EXPIRED_CHECK_INTERVAL_S: Final = 0.25
--- a/src/dykemast/_internal/serving/knowledge/cold_servers.py
+++ b/src/dykemast/_internal/serving/knowledge/cold_servers.py
@@ -10,7 +10,7 @@
 _log = make_logger('backends')
 
 #: Seconds for which a server that returned counts as cold until its entry is
-#: updated: a heartbeat interval of 1.2 s, and the time until routers see it.
+#: updated: one of its heartbeats, and the time until routers see it.
 COLD_RECHECK_S: Final = 2.5
 #: Seconds after which the entry of a server that ended is gone again: three of
 #: its heartbeats, and the time until routers see it.
--- a/src/dykemast/_internal/serving/knowledge/periodic_reads.py
+++ b/src/dykemast/_internal/serving/knowledge/periodic_reads.py
@@ -33,11 +33,10 @@
 #: Seconds until a failed listing is retried.
 RETRY_PAUSE_S: Final = 0.5
 #: Age, as a fraction of the bound, at which the first router lists. Each next
-#: one waits longer by NEXT_AGE_SHARE: gossip takes about 0.3 s to reach it.
+#: one waits longer by NEXT_AGE_SHARE, in which gossip reaches it.
 FIRST_AGE_SHARE: Final = 0.5
-#: Lower in a large fleet, where gossip takes about three rounds: if the first
-#: router lists after 0.7 s of a bound of 1.4 s, routers that hear of it late
-#: pass the bound and list as well.
+#: Lower in a large fleet, where gossip takes several rounds: routers that hear
+#: of a listing after the bound list as well.
 FIRST_AGE_SHARE_IN_LARGE_FLEET: Final = 0.3
 NEXT_AGE_SHARE: Final = 0.25
 #: Preceding routers beyond which the age is the whole bound in any case.
--- a/src/dykemast/_internal/serving/knowledge/store_answers.py
+++ b/src/dykemast/_internal/serving/knowledge/store_answers.py
@@ -20,7 +20,7 @@
 _log = make_logger('store')
 
 #: Time after the first sight of a new era in which routers write what they know
-#: of a budget: they see it within 1.6 s, and write within 1 s.
+#: of a budget: longer than they take to see the era and to write.
 SETTLE_S: Final = 3.0
 #: Further time for a process that knows nothing from before, so that others go
 #: first.
--- a/src/dykemast/_internal/serving/knowledge/watches.py
+++ b/src/dykemast/_internal/serving/knowledge/watches.py
@@ -33,7 +33,7 @@
 #: listings find the change.
 MAX_WATCHERS: Final = 2
 #: Seconds until peers are known when all routers start at the same time: the
-#: list of routers is read again after 1.5 s.
+#: list of routers is read a second time before that.
 PEER_DISCOVERY_S: Final = 2.0
 #: Seconds between two checks whether this router is a watcher, and whether the
 #: store returned during a watch: less than the time after which a stopped
--- a/src/dykemast/_internal/serving/members/gossip.py
+++ b/src/dykemast/_internal/serving/members/gossip.py
@@ -23,7 +23,7 @@
 
 _log = make_logger('gossip')
 
-#: Links take 1 ms, and a busy process about 10 ms.
+#: Far longer than links and a busy process take.
 CALL_TIMEOUT_S: Final = 0.4
 
 
--- a/src/dykemast/_internal/serving/members/own_entry.py
+++ b/src/dykemast/_internal/serving/members/own_entry.py
@@ -26,8 +26,7 @@
 ENTRY_TTL_S: Final = 1.5
 #: Seconds between two checks whether the store returned from an older copy.
 ERA_CHECK_INTERVAL_S: Final = 0.5
-#: Seconds per router over which all write their entries again: together they
-#: make about 50 calls a second.
+#: Seconds per router over which all write their entries again.
 WRITE_SPREAD_PER_ROUTER_S: Final = 0.02
 #: Seconds for which live peers are kept that the copy lacks, more than all take
 #: to write their entries again.
--- a/src/dykemast/_internal/serving/members/peer_fetches.py
+++ b/src/dykemast/_internal/serving/members/peer_fetches.py
@@ -19,7 +19,7 @@
 
 _log = make_logger('gossip')
 
-#: Seconds, enough for a 100 KB answer over a 5 Mbit/s link.
+#: Seconds, enough for a large answer over a narrow link.
 FETCH_TIMEOUT_S: Final = 1.0
 
 #: Calls a peer; takes its card, the call's name, arguments and ``timeout``.
--- a/src/dykemast/_internal/serving/process/loops.py
+++ b/src/dykemast/_internal/serving/process/loops.py
@@ -38,8 +38,7 @@
 _log_loop = make_logger('loops')
 
 #: Age at which the configuration and the list of backend servers are read
-#: again. Noticing that takes 0.1 s, a silent connection 0.3 s and the response
-#: 0.1 s: in total less than the 2 s that users allow.
+#: again, so that a read that is retried once still ends before users' limit.
 CONFIGURATION_AGE_S: Final = 1.4
 SERVERS_AGE_S: Final = 1.4
 #: The same for evacuated halls, as a fraction of the time within which an
--- a/src/dykemast/_internal/serving/state/board.py
+++ b/src/dykemast/_internal/serving/state/board.py
@@ -32,15 +32,14 @@
 PEER_TIMEOUT_S: Final = 1.5
 PEER_TIMEOUT_PER_PEER_S: Final = 0.03
 MAX_PEER_TIMEOUT_S: Final = 2.5
-#: Seconds over which the request rate is averaged: callers cache an entry
-#: answer for 1.5 to 4.5 s, so they react within a few windows.
+#: Seconds over which the request rate is averaged: shorter than most callers
+#: cache an entry answer.
 ARRIVAL_WINDOW_S: Final = 2.0
 
 #: Time of what did not happen, before all others.
 NEVER_S: Final = float('-inf')
-#: Peers from which on a fleet is large: beyond about 20, concurrent writes of
-#: one budget mostly conflict, and gossip with all peers takes most of a small
-#: instance's processor.
+#: Peers from which on a fleet is large: with more, concurrent writes of one
+#: budget mostly conflict, and gossip with all peers overloads small instances.
 LARGE_FLEET_ROUTERS: Final = 20
 
 
--- a/src/dykemast/_internal/serving/tokens/accounts.py
+++ b/src/dykemast/_internal/serving/tokens/accounts.py
@@ -32,9 +32,8 @@
 #: which bounds the calls per budget and router. Tokens become free when other
 #: routers end, or with a new configuration.
 EMPTY_RECHECK_S: Final = 1.0
-#: Time that a request waits for tokens. One write to a slow store takes less
-#: nearly always; a longer search mostly ends in a refusal, which then costs
-#: the caller more.
+#: Time that a request waits for tokens: one write to a slow store. A longer
+#: search mostly ends in a refusal, which then costs the caller more.
 HOLD_TIMEOUT_S: Final = 0.18
 #: Earlier than any time of the monotonic clock.
 NEVER: Final = float('-inf')
--- a/src/dykemast/_internal/serving/tokens/budget_upkeep.py
+++ b/src/dykemast/_internal/serving/tokens/budget_upkeep.py
@@ -72,8 +72,7 @@
         _release_spare(account)
     if not upkeep.writer.may_call_store():
         return False
-    # Concurrently: one after the other, ten budgets at 0.1 s per call would
-    # take longer than a planned stop allows.
+    # One after the other would take longer than a planned stop allows.
     writes = (upkeep.writer.write(one, spare=False) for one in accounts)
     await asyncio.gather(*writes)
     return all(one.stored for one in accounts)
--- a/src/dykemast/_internal/serving/tokens/token_search.py
+++ b/src/dykemast/_internal/serving/tokens/token_search.py
@@ -26,8 +26,8 @@
 
 #: Time for which a shortage is cached.
 SHORTAGE_VALID_S: Final = 0.5
-#: Retry-After of a request refused for lack of tokens: others end and free
-#: tokens in about 2 s.
+#: Retry-After of a request refused for lack of tokens, in which others end and
+#: free some.
 SHORTAGE_RETRY_AFTER_S: Final = 2.5
 
 
--- a/src/dykemast/_internal/utils/events.py
+++ b/src/dykemast/_internal/utils/events.py
@@ -17,7 +17,7 @@
 
 #: Bound on the queue of unwritten lines: some hundred kilobytes.
 MAX_QUEUED_LINES: Final = 1000
-#: Sustained rate beyond which lines are dropped: about ten times that of a busy
+#: Sustained rate beyond which lines are dropped, far above that of a busy
 #: instance.
 MAX_LINES_PER_S: Final = 400.0
 _FLUSH_INTERVAL_S: Final = 0.05
