Hop-by-hop header fields are named with the other header fields

The module held one constant, which the platform's modules use beside their other names. No behaviour changed: test_caller_fields and test_call_headers pass.

--- a/src/dykemast/_internal/path/backend_requests.py
+++ b/src/dykemast/_internal/path/backend_requests.py
@@ -9,7 +9,7 @@
 from dykemast._internal.models.revisions import ModelSpec, ServiceSpec
 from dykemast._internal.operations.rendezvous import hash_text
 from dykemast._internal.path.chat_bodies import refuse_bad
-from dykemast._internal.utils.hop_by_hop_headers import HOP_BY_HOP_HEADERS
+from dykemast._internal.platform.names import HOP_BY_HOP_HEADERS
 
 #: Path of chat completions, at routers and at engines.
 CHAT_PATH: Final = '/v1/chat/completions'
--- a/src/dykemast/_internal/platform/answer_headers.py
+++ b/src/dykemast/_internal/platform/answer_headers.py
@@ -7,7 +7,6 @@
 from dykemast._internal.models.backend import Backpressure
 from dykemast._internal.models.forwarding import ResponseHead
 from dykemast._internal.platform import names
-from dykemast._internal.utils.hop_by_hop_headers import HOP_BY_HOP_HEADERS
 
 #: Encoding of the HTTP client; it preserves bytes that are not UTF-8.
 _ENCODING: Final = 'utf-8'
@@ -33,7 +32,7 @@
     headers = [
         (_encode(name.lower()), _encode(text))
         for name, text in fields.items()
-        if name.lower() not in HOP_BY_HOP_HEADERS
+        if name.lower() not in names.HOP_BY_HOP_HEADERS
     ]
     return ResponseHead(
         status=status,
--- a/src/dykemast/_internal/platform/caller_fields.py
+++ b/src/dykemast/_internal/platform/caller_fields.py
@@ -10,13 +10,14 @@
 from typing import Final
 
 from dykemast._internal.platform import names
-from dykemast._internal.utils.hop_by_hop_headers import HOP_BY_HOP_HEADERS
 
 Fields = list[tuple[str, str]]
 
 _CONNECTION: Final = 'connection'
 #: Names that servers interpret; no other field may be read as one of them.
-_RESERVED: Final = HOP_BY_HOP_HEADERS | names.OWN_FIELDS | names.CALLER_FIELDS
+_RESERVED: Final = (
+    names.HOP_BY_HOP_HEADERS | names.OWN_FIELDS | names.CALLER_FIELDS
+)
 _CONTROL_PREFIXES: Final = tuple(f'{name}-' for name in names.CONTROL_FAMILIES)
 _DOT_SEGMENTS: Final = frozenset(('.', '..'))
 
--- a/src/dykemast/_internal/platform/names.py
+++ b/src/dykemast/_internal/platform/names.py
@@ -60,6 +60,21 @@
         'report',
     )
 )
+#: Not forwarded: those of RFC 9110, and others that HTTP clients send.
+HOP_BY_HOP_HEADERS: Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
 #: Fields that only routers send to backend servers. When a caller sets one, it
 #: is meant for the router and not forwarded.
 OWN_FIELDS: Final = frozenset(
--- a/tests/unit/test_caller_fields.py
+++ b/tests/unit/test_caller_fields.py
@@ -15,7 +15,6 @@
     decode_request,
     encode_forwarding,
 )
-from dykemast._internal.utils.hop_by_hop_headers import HOP_BY_HOP_HEADERS
 from tests.lib.users_objects import HOST
 
 Field = tuple[str, str]
@@ -196,7 +195,7 @@
     page = (Path(__file__).parents[2] / 'docs' / 'api.md').read_text()
     named = page.lower()
     told = {
-        *HOP_BY_HOP_HEADERS,
+        *words.HOP_BY_HOP_HEADERS,
         *words.OWN_FIELDS,
         *words.CALLER_FIELDS,
         *words.CONTROL_FAMILIES,
