Deadlines count from the head of a request, not from the end of its body

Callers on a full link saw requests go on after they had stopped waiting: the time that a body took to arrive was added to their deadline, and the backend server was told a time left that was longer by as much. Cause: a request began, for its deadline, when it was admitted, which follows the body. Change: the application passes the time of the head. A request whose body comes after its deadline is refused (504, too_late) without having been sent. The time that the head itself waits in buffers is not seen.

--- a/src/dykemast/_internal/serving/admission/admission.py
+++ b/src/dykemast/_internal/serving/admission/admission.py
@@ -22,18 +22,19 @@
 from dykemast._internal.utils.clock import read_clock
 
 
-def admit(board: ServingBoard, scope: Any) -> AdmittedRequest:
+def admit(board: ServingBoard, scope: Any, started: float) -> AdmittedRequest:
     """Admit a request.
 
     :param board: the blackboard.
     :param scope: ASGI scope of the request.
+    :param started: seconds at which its head arrived: the caller's deadline
+        runs while its body is read.
     :returns: the request with its route, service, workspace and deadline.
     :raises RefusedError: when it is not admitted.
     """
     request = _decode(scope)
     table = find_table(board)
     route = find_route(board, table, request)
-    started = read_clock()
     admitted = AdmittedRequest(
         request=_restrict_resumption(request, route),
         route=route,
@@ -44,6 +45,7 @@
         version=table.version,
     )
     _check_path(admitted)
+    _check_time_left(admitted)
     check_stop(board, admitted)
     return admitted
 
@@ -57,6 +59,14 @@
         raise RefusedError(RefusalCode.no_route, details)
 
 
+def _check_time_left(admitted: AdmittedRequest) -> None:
+    now = read_clock()
+    if admitted.deadline > now:
+        return
+    details = {'body_s': round(now - admitted.started, 3)}
+    raise RefusedError(RefusalCode.too_late, details)
+
+
 def _decode(scope: Any) -> CallerRequest:
     try:
         request = decode_request(scope)
--- a/src/dykemast/_internal/serving/process/application.py
+++ b/src/dykemast/_internal/serving/process/application.py
@@ -51,7 +51,7 @@
         parts.board.arrivals.record(1, started)
         try:
             with request_records.record_failure(parts, scope):
-                await _serve(parts, scope, receive, responder)
+                await _serve(parts, scope, receive, responder, started)
         except RefusedError as error:
             request_records.record_refusal(
                 parts, error, find_request_id(scope), started
@@ -77,10 +77,11 @@
     scope: Any,
     receive: Receive,
     responder: Responder,
+    started: float,
 ) -> None:
     with track_body(parts.board):
         body = await read_body(receive, _limit_body(parts))
-    admitted = admit(parts.board, scope)
+    admitted = admit(parts.board, scope, started)
     request_records.log_admitted(admitted, _describe_connection(scope))
     with track_request(parts.board, admitted):
         opened = exchange.open_exchange(parts, admitted, body, responder)
--- a/src/dykemast/_internal/serving/process/request_records.py
+++ b/src/dykemast/_internal/serving/process/request_records.py
@@ -56,7 +56,7 @@
         version=admitted.version,
         tokens=request.prompt_tokens + request.output_tokens,
         prompt_tokens=request.prompt_tokens,
-        left_s=round(admitted.deadline - admitted.started, 3),
+        left_s=round(admitted.deadline - read_clock(), 3),
         connection=connection,
         **resumed,
     )
