Limit the requests in progress while the link of a router is full

Callers of a workspace whose only router has a full link got 504, or an answer after their deadline: everything that arrived was admitted, shared the link, and ended late. Cause: nothing but the lateness of the event loop limited what is admitted, and a full link does not make the loop late. Class: admission that is unbounded for one of the scarce resources. Change: a limit of the requests in progress, by how the latest ones ended: it falls by a fifth while more than a tenth end at their deadlines and the fastest exchange with a peer takes over 0.1 s, and rises while exchanges are fast. What is above is refused, overloaded, with a return after 2.5 s; the refusal tells what the limit follows from, and state and metrics have it. Without the condition on exchanges, servers that do not answer would make all routers refuse; a unit test holds that. The test of the refusal failed first (admitted with all of ten late). To stay within the modules that a start may import, what a stop waits for is described by the stop.

--- a/src/dykemast/_internal/serving/admission/checks.py
+++ b/src/dykemast/_internal/serving/admission/checks.py
@@ -38,6 +38,9 @@
 #: Retry-After when the other routers are overloaded as well: several times
 #: what the event loop takes to catch up.
 ALL_OVERLOADED_RETRY_S: Final = 0.5
+#: Retry-After while the link is full: callers send the bodies of their next
+#: tries over it as well, wherever those are served.
+FULL_LINK_RETRY_S: Final = 2.5
 #: Retry-After when backend servers exist but none is allowed: the evacuation of
 #: a hall lasts longer than most callers wait.
 EVACUATION_RETRY_S: Final = 2.0
@@ -129,16 +132,24 @@
     # and delay streams, gossip messages and reads of the store, while other
     # routers have capacity.
     now = read_clock()
-    if not board.watch.is_overloaded(now):
+    is_late = board.watch.is_overloaded(now)
+    if not is_late and board.inflight <= board.admission_limit.review(
+        board.inflight, now
+    ):
         return
     elsewhere = has_peer_with_capacity(board)
     details = {
+        **board.admission_limit.describe(now),
         'late_s': round(board.watch.measure_lateness(now), 3),
         'inflight': board.inflight,
         'elsewhere': elsewhere,
     }
     retry_after = OTHER_ROUTER_RETRY_S if elsewhere else ALL_OVERLOADED_RETRY_S
-    raise RefusedError(RefusalCode.overloaded, details, retry_after)
+    raise RefusedError(
+        RefusalCode.overloaded,
+        details,
+        retry_after if is_late else FULL_LINK_RETRY_S,
+    )
 
 
 def _check_data_age(board: ServingBoard) -> None:
--- a/src/dykemast/_internal/serving/admission/in_progress.py
+++ b/src/dykemast/_internal/serving/admission/in_progress.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Collection, Iterator
-from typing import Any, Final
+from typing import Final
 
 from dykemast._internal.serving.state.board import ServingBoard
 from dykemast._internal.serving.requests.refusals import (
@@ -86,13 +86,18 @@
     """
     task = asyncio.current_task()
     board.tasks.add(task)
-    route, started = admitted.route.name, admitted.started
     try:
-        with board.usual_times.track(route, started):
+        with board.usual_times.track(admitted.route.name, admitted.started):
             yield
     finally:
         board.tasks.discard(task)
-        board.usual_times.record_end(route, started, read_clock())
+        _record_end(board, admitted)
+
+
+def _record_end(board: ServingBoard, admitted: AdmittedRequest) -> None:
+    now = read_clock()
+    board.usual_times.record_end(admitted.route.name, admitted.started, now)
+    board.admission_limit.record_end(admitted.deadline, now)
 
 
 async def cancel_tasks(tasks: Collection[asyncio.Task[None]]) -> None:
@@ -116,17 +121,3 @@
     """
     unread = len(board.reading)
     return board.inflight > unread or board.tunnels > 0
-
-
-def describe_unfinished(board: ServingBoard) -> dict[str, Any]:
-    """Count what a stop waits for, as log fields.
-
-    :param board: the blackboard.
-    :returns: requests in progress, those of them whose bodies are still being
-        read, and open tunnels of other routers.
-    """
-    return {
-        'inflight': board.inflight,
-        'reading': len(board.reading),
-        'tunnels': board.tunnels,
-    }
--- a/src/dykemast/_internal/serving/members/gossip.py
+++ b/src/dykemast/_internal/serving/members/gossip.py
@@ -67,15 +67,18 @@
 
         :param peer: the peer.
         """
-        asked_at = read_clock()
+        limit, asked_at = self._board.admission_limit, read_clock()
         peer.last_exchange_at = asked_at
         try:
             body = await self.call(
                 peer.card, 'exchange', self._peer_news.build_message()
             )
         except PeerError as error:
+            limit.record_exchange(CALL_TIMEOUT_S, read_clock())
             _log_lost(self._board, peer, error)
             return
+        now = read_clock()
+        limit.record_exchange(now - asked_at, now)
         message = self._peer_news.apply_message(body)
         if message:
             await fetch_newer(self.call, self._board, message, asked_at)
--- a/src/dykemast/_internal/serving/process/description.py
+++ b/src/dykemast/_internal/serving/process/description.py
@@ -48,6 +48,7 @@
         'loop_failures': board.loops.failures,
         'loops_failing': len(board.loops.list_failing(now)),
         'loop_late_s': round(board.watch.measure_lateness(now), 3),
+        'admission_limit': board.admission_limit.describe(now)['limit'] or 0,
         **_count_loans(parts.budgets),
         **_count_suspects(board),
         **_collect_ages(board),
--- a/src/dykemast/_internal/serving/process/planned_stop.py
+++ b/src/dykemast/_internal/serving/process/planned_stop.py
@@ -1,7 +1,7 @@
 """Planned stop of a router that lets requests in progress finish."""
 
 import asyncio
-from typing import Final
+from typing import Any, Final
 
 from dykemast._internal.network.listeners import close_listeners
 from dykemast._internal.operations.planned_stop import (
@@ -48,7 +48,7 @@
     _end(runtime)
     _log(
         'stopped',
-        **in_progress.describe_unfinished(board),
+        **_describe_unfinished(board),
         after_cut_s=round(read_clock() - plan.ends_by, 3),
     )
 
@@ -62,7 +62,7 @@
     board.stop_plan = plan
     _log(
         'stopping',
-        **in_progress.describe_unfinished(board),
+        **_describe_unfinished(board),
         late_s=round(now - since, 3),
         named_s=round(plan.advertised_until - now, 3),
         ends_s=round(plan.ends_by - now, 3),
@@ -86,13 +86,13 @@
     board.stop_plan = plan.close()
     await in_progress.cancel_tasks(board.reading.copy())
     waited_for = board.inflight
-    _log('admission_closed', **in_progress.describe_unfinished(board))
+    _log('admission_closed', **_describe_unfinished(board))
     await asyncio.gather(
         _return_tokens(runtime, plan.ends_by),
         wait_until(lambda _: not in_progress.is_busy(board), plan.ends_by),
     )
     if in_progress.is_busy(board):
-        _log('stop_cuts', **in_progress.describe_unfinished(board))
+        _log('stop_cuts', **_describe_unfinished(board))
     await in_progress.cancel_tasks(board.tasks | board.reading)
     if waited_for:
         # Unused tokens that these requests had reserved.
@@ -117,3 +117,17 @@
     if runtime.tunnel_server:
         runtime.tunnel_server.close()
     runtime.assembly.links.gossip.close()
+
+
+def _describe_unfinished(board: ServingBoard) -> dict[str, Any]:
+    """Count what a stop waits for, as log fields.
+
+    :param board: the blackboard.
+    :returns: requests in progress, those of them whose bodies are still being
+        read, and open tunnels of other routers.
+    """
+    return {
+        'inflight': board.inflight,
+        'reading': len(board.reading),
+        'tunnels': board.tunnels,
+    }
--- a/src/dykemast/_internal/serving/state/board.py
+++ b/src/dykemast/_internal/serving/state/board.py
@@ -5,9 +5,14 @@
 from collections.abc import Iterator
 from typing import Final
 
-from dykemast._internal.models import deployment, fleet, routing_table, streams
+from dykemast._internal.models import (
+    deployment,
+    fleet,
+    gossip,
+    routing_table,
+    streams,
+)
 from dykemast._internal.models.backend import BackendServer, Evacuations
-from dykemast._internal.models.gossip import ListState, RouterLoad
 from dykemast._internal.operations import (
     broken_sends,
     crash_table,
@@ -18,6 +23,7 @@
     route_times,
     backpressure_state,
 )
+from dykemast._internal.operations.admission_limit import AdmissionLimit
 from dykemast._internal.operations.server_links import ServerLinks
 from dykemast._internal.operations.stream_origins import (
     MIN_STREAM_TIME_S,
@@ -60,7 +66,7 @@
     card: fleet.PeerCard
     last_heard_at: float = 0
     last_exchange_at: float = 0
-    router_load: RouterLoad = RouterLoad()
+    router_load: gossip.RouterLoad = gossip.RouterLoad()
     budget_write_failed: bool = False
     store_era: int = 0
 
@@ -136,6 +142,9 @@
     :param reading: tasks of requests whose bodies are still being read;
         ``serving.application``.
     :param watch: lateness of the event loop; ``serving.loops``.
+    :param admission_limit: limit of ``inflight``; ``serving.in_progress`` and
+        ``serving.gossip`` record what it follows from, ``serving.checks``
+        changes it.
     :param loops: which loops failed; ``serving.supervision``.
     :param crashes: servers that crashed, and the requests they ran;
         ``serving.crash_watch``, ``serving.crash_records`` and
@@ -176,7 +185,7 @@
     server_objects: dict[str, StoreObject] = dataclasses.field(
         default_factory=dict
     )
-    server_state: ListState = ListState()
+    server_state: gossip.ListState = gossip.ListState()
     expired_until: dict[str, float] = dataclasses.field(default_factory=dict)
     held_until: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving: set[str] = dataclasses.field(default_factory=set)
@@ -211,6 +220,9 @@
             read_clock()
         )
     )
+    admission_limit: AdmissionLimit = dataclasses.field(
+        default_factory=AdmissionLimit
+    )
     loops: loop_health.LoopHealth = dataclasses.field(
         default_factory=loop_health.LoopHealth
     )
--- a/tools/load_mutations.py
+++ b/tools/load_mutations.py
@@ -10,6 +10,30 @@
 
 #: Mutations of these rules.
 LOAD_MUTATIONS: Final = (
+    Mutation(
+        'admit what a full link cannot carry in time',
+        _SERVED,
+        f'{_INTERNAL}/operations/admission_limit.py',
+        'self.limit = max(MIN_LIMIT, lowered)',
+        'self.limit = math.inf',
+        'test_full_links',
+    ),
+    Mutation(
+        'refuse for a full link when servers are late',
+        _SERVED,
+        f'{_INTERNAL}/operations/admission_limit.py',
+        'return fastest is not None and fastest > FULL_LINK_S',
+        'return fastest is not None',
+        'test_full_links',
+    ),
+    Mutation(
+        'admit more while the link is still full',
+        _SERVED,
+        f'{_INTERNAL}/operations/admission_limit.py',
+        'elif not late:',
+        'if not late:',
+        'test_admission_limit',
+    ),
     Mutation(
         'weigh nobody whom a long prompt makes late',
         _SERVED,
--- a/tools/serving_mutations.py
+++ b/tools/serving_mutations.py
@@ -292,8 +292,8 @@
         'let in what there is no processor time for',
         'callers are told in time',
         f'{_INTERNAL}/serving/admission/checks.py',
-        'if not board.watch.is_overloaded(now):',
-        'if now:',
+        'is_late = board.watch.is_overloaded(now)',
+        'is_late = False',
         'test_overload',
     ),
     Mutation(
--- a/tools/stop_mutations.py
+++ b/tools/stop_mutations.py
@@ -42,8 +42,8 @@
         'count requests that hang as if there were none',
         _CUTS_NOTHING,
         f'{_INTERNAL}/serving/admission/in_progress.py',
-        'record_end(route, started, read_clock())',
-        'record_end(route, read_clock(), read_clock())',
+        'record_end(admitted.route.name, admitted.started, now)',
+        'record_end(admitted.route.name, now, now)',
         'test_streams_are_not_cut_since_only',
     ),
     Mutation(
