Loans: an owner that does not reach the store says so

Cause: an owner that could not ask the store answered with nothing, as one whose budget is used up does; its borrowers took it for the latter until gossip told them of failed writes. It answered after 0.18 s too, when the requests that wait at the borrower had been refused. Change: the answer tells whether the owner's last call to the store failed. Borrowers ask the store themselves then, and say budget_away until they have read the budget; such an owner answers after 0.06 s. The refusal tells since when (owner_cut_off_s). Both tests failed first: with one owner cut off 200 of 200 were refused budget_held in 5 s, now 27 in the first second and none later; with all cut off 200 of 200 were told budget_held, now budget_away after the first calls failed. Two mutants are caught.

--- a/src/dykemast/_internal/models/fleet.py
+++ b/src/dykemast/_internal/models/fleet.py
@@ -101,7 +101,9 @@
     :param lender: incarnation of the lender.
     :param total: all tokens that it has lent to the borrower's incarnation,
         in this answer and before.
+    :param store_away: whether its last call to the store failed.
     """
 
     lender: str
     total: int
+    store_away: bool
--- a/src/dykemast/_internal/serving/tokens/accounts.py
+++ b/src/dykemast/_internal/serving/tokens/accounts.py
@@ -86,6 +86,8 @@
     :param written_at: time of the last attempt to write.
     :param asked: instance that was last asked for tokens as the owner.
     :param asked_at: time of that.
+    :param owner_cut_off_at: time at which the owner last said that the store
+        does not answer; ``NEVER`` once it answers.
     :param answer_s: seconds that the last answer to a request for a loan took.
     :param received_at: time at which a loan last brought tokens.
     :param write_lock: serializes writes of it. Of two concurrent writes, the
@@ -113,6 +115,7 @@
     written_at: float = NEVER
     asked: str = ''
     asked_at: float = NEVER
+    owner_cut_off_at: float = NEVER
     answer_s: float = 0
     received_at: float = NEVER
     write_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
--- a/src/dykemast/_internal/serving/tokens/budget_owners.py
+++ b/src/dykemast/_internal/serving/tokens/budget_owners.py
@@ -18,6 +18,7 @@
     list_live_peers,
     is_large_fleet,
 )
+from dykemast._internal.serving.tokens.accounts import Account
 from dykemast._internal.utils.clock import read_clock
 
 #: Time after the start in which a router may not know its live peers yet.
@@ -46,6 +47,15 @@
     return cards.get(choose_owner(workspace, names) or '')
 
 
+def is_owner_cut_off(account: Account) -> bool:
+    """Tell whether the owner lacks the store, as far as this router knows.
+
+    :param account: the budget.
+    :returns: whether the owner said so since this router read the budget.
+    """
+    return account.owner_cut_off_at > account.seen_at
+
+
 def _list_reachable(board: ServingBoard) -> Iterable[Peer]:
     # Routers that start together receive gossip from each other one by one.
     # Until then each would own all budgets, so they use the list of routers,
--- a/src/dykemast/_internal/serving/tokens/lending.py
+++ b/src/dykemast/_internal/serving/tokens/lending.py
@@ -99,7 +99,11 @@
         received = request.received if request.lender == own else 0
         unconfirmed = totals.count_unconfirmed(request.incarnation, received)
         given = await self._grant(request, unconfirmed)
-        return LoanAnswer(own, totals.add_lent(request.incarnation, given))
+        return LoanAnswer(
+            lender=own,
+            total=totals.add_lent(request.incarnation, given),
+            store_away=self._search.is_store_away(),
+        )
 
     async def _grant(self, request: LoanRequest, unconfirmed: int) -> int:
         """Take the tokens of a loan out of this router's.
--- a/src/dykemast/_internal/serving/tokens/loans.py
+++ b/src/dykemast/_internal/serving/tokens/loans.py
@@ -15,7 +15,11 @@
     LoanRequest,
     PeerCard,
 )
-from dykemast._internal.serving.tokens.accounts import Account, record_loan
+from dykemast._internal.serving.tokens.accounts import (
+    NEVER,
+    Account,
+    record_loan,
+)
 from dykemast._internal.serving.members.gossip import Gossip
 from dykemast._internal.utils.clock import read_clock
 from dykemast._internal.utils.events import make_logger
@@ -201,4 +205,6 @@
         older: int = await gossip.call(card, 'lend', *words, request.spare)
         return older
     answer = unpack(body, LoanAnswer)
+    if needed.as_owner:
+        account.owner_cut_off_at = read_clock() if answer.store_away else NEVER
     return account.totals.accept(answer.lender, answer.total)
--- a/src/dykemast/_internal/serving/tokens/token_search.py
+++ b/src/dykemast/_internal/serving/tokens/token_search.py
@@ -13,6 +13,7 @@
     Shortage,
     take_hold,
 )
+from dykemast._internal.serving.tokens.budget_owners import is_owner_cut_off
 from dykemast._internal.serving.tokens.ledger_writer import (
     LedgerWriter,
     describe_account,
@@ -26,6 +27,9 @@
 
 #: Time for which a shortage is cached.
 SHORTAGE_VALID_S: Final = 0.5
+#: Time that a peer's request waits while the store is unavailable, so that the
+#: peer has time to ask the store itself.
+AWAY_REFILL_TIMEOUT_S: Final = HOLD_TIMEOUT_S / 3
 #: Retry-After of a request refused for lack of tokens, in which others end and
 #: free some.
 SHORTAGE_RETRY_AFTER_S: Final = 2.5
@@ -55,11 +59,13 @@
 
     :param account: the budget.
     :returns: the router that it asked as the owner, and the seconds since
-        then and since a loan brought tokens; None for never.
+        then, since the owner said that the store does not answer, and since
+        a loan brought tokens; None for never.
     """
     return {
         'asked': account.asked or None,
         'asked_s': _count_seconds_since(account.asked_at),
+        'owner_cut_off_s': _count_seconds_since(account.owner_cut_off_at),
         'received_s': _count_seconds_since(account.received_at),
     }
 
@@ -133,10 +139,19 @@
         with _pending(account, tokens):
             found = self.source.find_elsewhere(account, spare=spare)
             search = self.start(account, found)
-            await asyncio.wait((search,), timeout=HOLD_TIMEOUT_S)
+            away = self.is_store_away()
+            limit = AWAY_REFILL_TIMEOUT_S if away else HOLD_TIMEOUT_S
+            await asyncio.wait((search,), timeout=limit)
         if account.allowance.count_available() < tokens:
             _note_shortage(account, tokens)
 
+    def is_store_away(self) -> bool:
+        """Tell whether the last call to the store failed.
+
+        :returns: whether it did.
+        """
+        return self._writer.is_store_unavailable
+
     async def _try_twice(
         self,
         account: Account,
@@ -159,7 +174,7 @@
             **describe_account(account),
             **_describe_loans(account),
         }
-        if self._writer.is_store_unavailable:
+        if self.is_store_away() or is_owner_cut_off(account):
             away = read_clock() - account.seen_at
             pause = compute_retry_after(
                 account.ledger, account.identity, tokens, away
--- a/src/dykemast/_internal/serving/tokens/token_source.py
+++ b/src/dykemast/_internal/serving/tokens/token_source.py
@@ -14,6 +14,7 @@
 from dykemast._internal.serving.tokens.budget_owners import (
     find_owner,
     is_owner,
+    is_owner_cut_off,
 )
 from dykemast._internal.serving.members.gossip import Gossip
 from dykemast._internal.serving.tokens.ledger_writer import LedgerWriter
@@ -169,6 +170,8 @@
         """
         if account.pending <= account.allowance.count_available():
             return False
+        if is_owner_cut_off(account):
+            return True
         owner = find_owner(self._board, account.workspace)
         peer = self._board.peers.get(owner.instance) if owner else None
         return peer is not None and peer.budget_write_failed
--- a/tests/lib/lending_fleet.py
+++ b/tests/lib/lending_fleet.py
@@ -11,16 +11,19 @@
 
 from dykemast._internal.models.budget_ledger import BudgetLedger
 from dykemast._internal.models.routing_table import Workspace
-from dykemast._internal.serving.requests.refusals import RefusedError
+from dykemast._internal.serving.requests.refusals import (
+    RefusalCode,
+    RefusedError,
+)
 from dykemast._internal.serving.tokens import (
     budget_owners,
     budget_upkeep,
     ledger_objects,
     lending,
 )
+from tests.lib import reached_store, slow_links
 from tests.lib.lending_router import ROUTERS, keep_heard, make_upkeep
 from tests.lib.serving_boards import make_boards
-from tests.lib.slow_links import SlowLinks
 from tests.unit.test_ledger_writer import LateStore
 
 NAME = 'joinville'
@@ -36,13 +39,23 @@
     def __init__(
         self, prepaid: int, ledger: BudgetLedger | None = None
     ) -> None:
-        self.links = SlowLinks(self._answer)
+        self.links = slow_links.SlowLinks(self._answer)
+        #: Instances whose calls of the store fail, late.
+        self.without_store: set[str] = set()
+        self.refusals: list[RefusalCode] = []
         self._workspace = Workspace(NAME, 0, prepaid)
         store = LateStore()
         if ledger:
             store.stored = ledger_objects.encode_ledger(NAME, 1, ledger)
         self.upkeeps = {
-            board.settings.name: make_upkeep(board, store, self.links, prepaid)
+            board.settings.name: make_upkeep(
+                board,
+                reached_store.ReachedStore(
+                    store, board.settings.name, self.without_store
+                ),
+                self.links,
+                prepaid,
+            )
             for board in make_boards(ROUTERS)
         }
 
@@ -64,7 +77,8 @@
         held = self.upkeeps[router].budgets
         try:
             hold = await held.hold(self._workspace, tokens, priority=0)
-        except RefusedError:
+        except RefusedError as error:
+            self.refusals.append(error.code)
             return False
         held.settle(hold, tokens)
         return True
--- a/tests/lib/lending_router.py
+++ b/tests/lib/lending_router.py
@@ -14,7 +14,7 @@
 from dykemast._internal.utils.clock import read_clock
 from tests.lib.serving_boards import ServingBoard
 from tests.lib.slow_links import LINK_S, RouterLink, SlowLinks
-from tests.unit.test_ledger_writer import LateStore
+from tests.lib.reached_store import ReachedStore
 
 #: Routers of the fleet.
 ROUTERS = 30
@@ -31,7 +31,7 @@
 
 
 def make_upkeep(
-    board: ServingBoard, store: LateStore, links: SlowLinks, prepaid: int
+    board: ServingBoard, store: ReachedStore, links: SlowLinks, prepaid: int
 ) -> upkeep.Upkeep:
     """Make the parts of one router that hold and lend tokens."""
     board.started_at -= budget_owners.PEER_DISCOVERY_S
--- a/tests/unit/test_loans_ahead.py
+++ b/tests/unit/test_loans_ahead.py
@@ -72,7 +72,7 @@
         self._lends = lends
 
     async def call(self, *_: Any, **_options: Any) -> bytes:
-        return pack(LoanAnswer('owner/1', self._lends))
+        return pack(LoanAnswer('owner/1', self._lends, store_away=False))
 
 
 def is_next_loan_delayed(lends: int) -> bool:
--- a/tests/unit/test_stranded_budgets.py
+++ b/tests/unit/test_stranded_budgets.py
@@ -45,7 +45,7 @@
         self._lends = lends
 
     async def call(self, *_: Any, **_options: Any) -> bytes:
-        return pack(LoanAnswer('owner/1', self._lends))
+        return pack(LoanAnswer('owner/1', self._lends, store_away=False))
 
 
 def find_owned_elsewhere(board: ServingBoard) -> Account:
--- a/tools/load_mutations.py
+++ b/tools/load_mutations.py
@@ -10,6 +10,22 @@
 
 #: Mutations of these rules.
 LOAD_MUTATIONS: Final = (
+    Mutation(
+        'keep asking an owner that does not reach the store',
+        _SERVED,
+        f'{_INTERNAL}/serving/tokens/token_source.py',
+        'if is_owner_cut_off(account):',
+        'if False:',
+        'test_owners_without_store',
+    ),
+    Mutation(
+        'tell an outage of the store as tokens in use',
+        'callers are told what is true',
+        f'{_INTERNAL}/serving/tokens/token_search.py',
+        'if self.is_store_away() or is_owner_cut_off(account):',
+        'if False:',
+        'test_owners_without_store',
+    ),
     Mutation(
         'admit what a full link cannot carry in time',
         _SERVED,
