Admission limit: it rises slowly while the link is full, and is told as overload

Cause: the limit did not rise while exchanges were slow, and what is refused keeps them slow. Ruled out: requests in progress (7 at most). Change: while the link is full the limit rises by half a request in 0.25 s, as long as nothing ends late. A router with a limit tells others that it gets more than it carries, so that entries name other routers, as with a late loop.

--- a/src/dykemast/_internal/operations/admission_limit.py
+++ b/src/dykemast/_internal/operations/admission_limit.py
@@ -25,6 +25,8 @@
 LOWER_FACTOR: Final = 0.8
 RAISE_FACTOR: Final = 1.1
 MAX_STEPS: Final = 40
+#: Requests of one change while the link is full, as refused ones may keep it.
+RAISE_STEP: Final = 0.5
 #: Lowest limit: enough requests end to tell whether it may be raised.
 MIN_LIMIT: Final = 6
 #: Limit from which on there is none.
@@ -83,6 +85,13 @@
             self._change(in_progress, elapsed, now)
         return self.limit
 
+    def is_in_force(self) -> bool:
+        """Tell whether there is a limit.
+
+        :returns: whether there is.
+        """
+        return self.limit < math.inf
+
     def describe(self, now: float) -> dict[str, float | None]:
         """Describe the limit and what it follows from, as log fields.
 
@@ -93,7 +102,7 @@
         """
         fastest = _find_fastest(self._exchanges, now)
         return {
-            'limit': None if math.isinf(self.limit) else round(self.limit, 1),
+            'limit': round(self.limit, 1) if self.is_in_force() else None,
             'ended': len(self._requests),
             'ended_late': sum(one.was_late for one in self._requests),
             'exchange_s': None if fastest is None else round(fastest, 3),
@@ -102,18 +111,23 @@
     def _change(self, in_progress: int, elapsed: float, now: float) -> None:
         _forget(self._requests, now)
         late = sum(one.was_late for one in self._requests)
-        if self._is_link_full(now):
-            if late >= max(MIN_LATE, MAX_LATE_SHARE * len(self._requests)):
-                lowered = LOWER_FACTOR * min(self.limit, in_progress)
-                self.limit = max(MIN_LIMIT, lowered)
+        full = _is_link_full(self._exchanges, now)
+        if full and late >= max(MIN_LATE, MAX_LATE_SHARE * len(self._requests)):
+            lowered = LOWER_FACTOR * min(self.limit, in_progress)
+            self.limit = max(MIN_LIMIT, lowered)
         elif not late:
             steps = min(MAX_STEPS, elapsed / REVIEW_INTERVAL_S)
-            raised = self.limit * RAISE_FACTOR**steps
+            raised = _raise(self.limit, steps, full=full)
             self.limit = raised if raised < MAX_LIMIT else math.inf
 
-    def _is_link_full(self, now: float) -> bool:
-        fastest = _find_fastest(self._exchanges, now)
-        return fastest is not None and fastest > FULL_LINK_S
+
+def _is_link_full(exchanges: deque[_Exchange], now: float) -> bool:
+    fastest = _find_fastest(exchanges, now)
+    return fastest is not None and fastest > FULL_LINK_S
+
+
+def _raise(limit: float, steps: float, *, full: bool) -> float:
+    return limit + RAISE_STEP * steps if full else limit * RAISE_FACTOR**steps
 
 
 def _find_fastest(exchanges: deque[_Exchange], now: float) -> float | None:
--- a/src/dykemast/_internal/serving/members/load_measurement.py
+++ b/src/dykemast/_internal/serving/members/load_measurement.py
@@ -31,14 +31,22 @@
     now = read_clock()
     carried = USABLE_SHARE * max_rate
     rate = board.arrivals.compute_rate(now)
-    if board.watch.is_overloaded(now) or board.links.isolated_since:
+    if _is_overloaded(board, now):
         # Requests that are not read yet are not counted, and the estimated
-        # work of a request is too low for the current ones. Without links to
-        # the servers, each request takes capacity of a peer as well.
+        # work of a request is too low for the current ones.
         rate = max(rate, OVERLOAD_FACTOR * carried)
     return RouterLoad(round(carried, 1), round(rate, 1))
 
 
+def _is_overloaded(board: ServingBoard, now: float) -> bool:
+    # Without links to the servers, each request takes capacity of a peer.
+    return (
+        board.watch.is_overloaded(now)
+        or bool(board.links.isolated_since)
+        or board.admission_limit.is_in_force()
+    )
+
+
 def has_peer_with_capacity(board: ServingBoard) -> bool:
     """Tell whether the load of another live router is within its capacity.
 
--- a/tests/unit/test_overload_gate.py
+++ b/tests/unit/test_overload_gate.py
@@ -1,5 +1,7 @@
 """An overloaded router refuses requests at once, and reports its load."""
 
+import math
+
 from dykemast._internal.models.gossip import RouterLoad
 from dykemast._internal.operations.event_loop_monitor import RECORD_INTERVAL_S
 from dykemast._internal.platform.store_types import StoreObject
@@ -22,6 +24,8 @@
 
 #: Seconds by which the event loop is late at each record.
 LATE = 0.5
+#: Requests that end at their deadlines.
+REQUESTS = 20
 FREE = RouterLoad(10, 1)
 BUSY = RouterLoad(10, 20)
 
@@ -77,6 +81,17 @@
         raise AssertionError
 
 
+def test_callers_are_referred_to_others_while_the_link_is_full() -> None:
+    board = make_board(FREE, 0)
+    now = read_clock()
+    board.admission_limit.record_exchange(LATE, now)
+    for _ in range(REQUESTS):
+        board.admission_limit.record_end(now, now)
+    assert board.admission_limit.review(REQUESTS, now) < math.inf
+    assert measure_router_load(board).exceeds_capacity()
+    assert should_close_connections(board)
+
+
 def test_callers_wait_a_little_when_all_routers_are_overloaded() -> None:
     error = refuse(make_board(BUSY, LATE))
     assert error
--- a/tools/load_mutations.py
+++ b/tools/load_mutations.py
@@ -46,8 +46,8 @@
         'admit more while the link is still full',
         _SERVED,
         f'{_INTERNAL}/operations/admission_limit.py',
-        'elif not late:',
-        'if not late:',
+        'limit + RAISE_STEP * steps if full else limit',
+        'limit',
         'test_admission_limit',
     ),
     Mutation(
