Admission limit: a router tells of an overload only while it refuses requests

Callers would not have been sent to a router again after its link had been full: the limit is looked at when requests arrive, a router with a limit is named by no entry, and without requests the limit never ends. Change: the router counts as overloaded for 2 s after a request above its limit, as long as callers cache an entry's answer.

--- a/src/dykemast/_internal/operations/admission_limit.py
+++ b/src/dykemast/_internal/operations/admission_limit.py
@@ -12,6 +12,9 @@
 #: Seconds between two changes, and seconds of observations that count.
 REVIEW_INTERVAL_S: Final = 0.25
 OBSERVED_S: Final = 1.0
+#: Seconds for which a refusal counts as recent: as long as callers cache which
+#: routers an entry names.
+REFUSED_S: Final = 2.0
 #: Seconds before its deadline from which on a request counts as late.
 DEADLINE_MARGIN_S: Final = 0.1
 #: Number and share of late requests above which the limit is lowered: some
@@ -50,6 +53,7 @@
         """Start without a limit."""
         self.limit = math.inf
         self._reviewed_at = float()
+        self._refused_at = -math.inf
         self._requests: deque[_Ended] = deque()
         self._exchanges: deque[_Exchange] = deque()
 
@@ -72,25 +76,29 @@
         self._exchanges.append(_Exchange(now, duration))
         _forget(self._exchanges, now)
 
-    def review(self, in_progress: int, now: float) -> float:
-        """Change the limit if that is due.
+    def admits(self, in_progress: int, now: float) -> bool:
+        """Check the limit, and change it if that is due.
 
-        :param in_progress: requests in progress.
+        :param in_progress: requests in progress, with a new one.
         :param now: seconds.
-        :returns: the limit; infinite for none.
+        :returns: whether the new one is within the limit.
         """
         elapsed = now - self._reviewed_at
         if elapsed >= REVIEW_INTERVAL_S:
             self._reviewed_at = now
             self._change(in_progress, elapsed, now)
-        return self.limit
+        if in_progress <= self.limit:
+            return True
+        self._refused_at = now
+        return False
 
-    def is_in_force(self) -> bool:
-        """Tell whether there is a limit.
+    def has_refused(self, now: float) -> bool:
+        """Tell whether a request was above the limit lately.
 
-        :returns: whether there is.
+        :param now: seconds.
+        :returns: whether one was.
         """
-        return self.limit < math.inf
+        return now - self._refused_at < REFUSED_S
 
     def describe(self, now: float) -> dict[str, float | None]:
         """Describe the limit and what it follows from, as log fields.
@@ -102,7 +110,7 @@
         """
         fastest = _find_fastest(self._exchanges, now)
         return {
-            'limit': round(self.limit, 1) if self.is_in_force() else None,
+            'limit': None if math.isinf(self.limit) else round(self.limit, 1),
             'ended': len(self._requests),
             'ended_late': sum(one.was_late for one in self._requests),
             'exchange_s': None if fastest is None else round(fastest, 3),
--- a/src/dykemast/_internal/serving/admission/checks.py
+++ b/src/dykemast/_internal/serving/admission/checks.py
@@ -133,9 +133,7 @@
     # routers have capacity.
     now = read_clock()
     is_late = board.watch.is_overloaded(now)
-    if not is_late and board.inflight <= board.admission_limit.review(
-        board.inflight, now
-    ):
+    if not is_late and board.admission_limit.admits(board.inflight, now):
         return
     elsewhere = has_peer_with_capacity(board)
     details = {
--- a/src/dykemast/_internal/serving/members/load_measurement.py
+++ b/src/dykemast/_internal/serving/members/load_measurement.py
@@ -43,7 +43,7 @@
     return (
         board.watch.is_overloaded(now)
         or bool(board.links.isolated_since)
-        or board.admission_limit.is_in_force()
+        or board.admission_limit.has_refused(now)
     )
 
 
--- a/tests/lib/full_link.py
+++ b/tests/lib/full_link.py
@@ -64,8 +64,8 @@
         in_progress = len(self._running) + 1
         duration = EXCHANGE * self._count_transfers() / CARRIED_PER_S
         self._limit.record_exchange(duration, now)
-        limit = self._limit.review(in_progress, now)
-        if self._limited and in_progress > limit:
+        admits = self._limit.admits(in_progress, now)
+        if self._limited and not admits:
             self._counts['refused'] += 1
             self._refusals.append(_Transfer(now, REFUSAL))
         else:
--- a/tests/unit/test_admission_limit.py
+++ b/tests/unit/test_admission_limit.py
@@ -34,53 +34,60 @@
     return limit
 
 
-def review(*, late: int, exchange_s: float) -> float:
-    return make_limit(late=late, exchange_s=exchange_s).review(IN_PROGRESS, 1)
+def review(limit: AdmissionLimit, now: float, in_progress: int) -> float:
+    """Have a request arrive; returns the limit."""
+    limit.admits(in_progress, now)
+    return limit.limit
+
+
+def find_limit(*, late: int, exchange_s: float) -> float:
+    limit = make_limit(late=late, exchange_s=exchange_s)
+    return review(limit, 1, IN_PROGRESS)
 
 
 def test_without_late_requests_there_is_no_limit() -> None:
-    assert review(late=0, exchange_s=FULL_S) == math.inf
+    assert find_limit(late=0, exchange_s=FULL_S) == math.inf
 
 
 def test_late_requests_on_a_full_link_lower_the_limit() -> None:
-    assert review(late=5, exchange_s=FULL_S) == LOWER_FACTOR * IN_PROGRESS
+    assert find_limit(late=5, exchange_s=FULL_S) == LOWER_FACTOR * IN_PROGRESS
 
 
 def test_a_few_late_requests_lower_no_limit() -> None:
-    assert review(late=2, exchange_s=FULL_S) == math.inf
+    assert find_limit(late=2, exchange_s=FULL_S) == math.inf
 
 
 def test_late_requests_on_a_free_link_lower_no_limit() -> None:
-    assert review(late=5, exchange_s=FREE_S) == math.inf
+    assert find_limit(late=5, exchange_s=FREE_S) == math.inf
 
 
 def test_a_router_without_exchanges_has_no_limit() -> None:
     limit = AdmissionLimit()
     for _ in range(ENDED):
         limit.record_end(1, 1)
-    assert limit.review(IN_PROGRESS, 1) == math.inf
+    assert review(limit, 1, IN_PROGRESS) == math.inf
 
 
 def test_the_limit_is_never_too_low_to_learn_from() -> None:
     limit = make_limit(late=ENDED, exchange_s=FULL_S)
     for step in range(3):
-        assert limit.review(1, 1 + step * REVIEW_INTERVAL_S) == MIN_LIMIT
+        assert review(limit, 1 + step * REVIEW_INTERVAL_S, 1) == MIN_LIMIT
 
 
 def test_the_limit_rises_slowly_while_the_link_is_full() -> None:
     limit = make_limit(late=5, exchange_s=FULL_S)
-    lowered = limit.review(IN_PROGRESS, 1)
+    lowered = review(limit, 1, IN_PROGRESS)
     limit.record_exchange(FULL_S, 3)
     limit.record_end(9, 3)
     steps = (3 - 1) / REVIEW_INTERVAL_S
-    assert limit.review(IN_PROGRESS, 3) == lowered + RAISE_STEP * steps
+    assert review(limit, 3, IN_PROGRESS) == lowered + RAISE_STEP * steps
 
 
 def test_the_limit_ends_after_a_time_without_requests() -> None:
     limit = make_limit(late=5, exchange_s=FULL_S)
-    assert limit.review(IN_PROGRESS, 1) < math.inf
+    assert review(limit, 1, IN_PROGRESS) < math.inf
     quiet_s = MAX_STEPS * REVIEW_INTERVAL_S
-    assert limit.review(0, 1 + quiet_s) == math.inf
+    assert review(limit, 1 + quiet_s, 0) == math.inf
 
 
 def test_a_full_link_serves_most_of_what_it_carries() -> None:
--- a/tests/unit/test_overload_gate.py
+++ b/tests/unit/test_overload_gate.py
@@ -1,8 +1,7 @@
 """An overloaded router refuses requests at once, and reports its load."""
 
-import math
-
 from dykemast._internal.models.gossip import RouterLoad
+from dykemast._internal.operations.admission_limit import REFUSED_S
 from dykemast._internal.operations.event_loop_monitor import RECORD_INTERVAL_S
 from dykemast._internal.platform.store_types import StoreObject
 from dykemast._internal.serving.admission import checks, lookups
@@ -87,11 +86,21 @@
     board.admission_limit.record_exchange(LATE, now)
     for _ in range(REQUESTS):
         board.admission_limit.record_end(now, now)
-    assert board.admission_limit.review(REQUESTS, now) < math.inf
+    assert not board.admission_limit.admits(REQUESTS, now)
     assert measure_router_load(board).exceeds_capacity()
     assert should_close_connections(board)
 
 
+def test_a_router_that_refuses_nobody_any_more_is_named_again() -> None:
+    board = make_board(FREE, 0)
+    now = read_clock()
+    board.admission_limit.record_exchange(LATE, now - REFUSED_S)
+    for _ in range(REQUESTS):
+        board.admission_limit.record_end(now - REFUSED_S, now - REFUSED_S)
+    assert not board.admission_limit.admits(REQUESTS, now - REFUSED_S)
+    assert not measure_router_load(board).exceeds_capacity()
+
+
 def test_callers_wait_a_little_when_all_routers_are_overloaded() -> None:
     error = refuse(make_board(BUSY, LATE))
     assert error
