A router's card is made where its entry is written, not by the board

Cause: the board held the description since it was the only module that both users of it imported. Change: make_card is a function of members.own_entry, which writes the entry; gossip messages call it. No behaviour changed. Two comments say what a router learns and what is not known, in the field's terms.

--- a/src/dykemast/_internal/operations/admission_limit.py
+++ b/src/dykemast/_internal/operations/admission_limit.py
@@ -1,8 +1,8 @@
 """Limit of the requests in progress while the link of this router is full.
 
 More than the link carries delay each other past their deadlines, so that fewer
-are served than if some had been refused. Nobody tells a router what its link
-carries, so the limit follows from how its own requests ended.
+are served than if some had been refused. What a link carries is not
+known, so the limit follows from how this router's requests ended.
 """
 
 import math
--- a/src/dykemast/_internal/serving/knowledge/periodic_reads.py
+++ b/src/dykemast/_internal/serving/knowledge/periodic_reads.py
@@ -35,7 +35,7 @@
 #: Age, as a fraction of the bound, at which the first router lists. Each next
 #: one waits longer by NEXT_AGE_SHARE, in which gossip reaches it.
 FIRST_AGE_SHARE: Final = 0.5
-#: Lower in a large fleet, where gossip takes several rounds: routers that hear
+#: Lower in a large fleet, where gossip takes several rounds: routers that learn
 #: of a listing after the bound list as well.
 FIRST_AGE_SHARE_IN_LARGE_FLEET: Final = 0.3
 NEXT_AGE_SHARE: Final = 0.25
--- a/src/dykemast/_internal/serving/members/gossip_messages.py
+++ b/src/dykemast/_internal/serving/members/gossip_messages.py
@@ -9,7 +9,11 @@
     store_answers,
 )
 from dykemast._internal.serving.knowledge.evacuations import apply_evacuations
-from dykemast._internal.serving.members import load_measurement, members
+from dykemast._internal.serving.members import (
+    load_measurement,
+    members,
+    own_entry,
+)
 from dykemast._internal.serving.state.board import (
     ServingBoard,
     is_silent,
@@ -45,7 +49,7 @@
         :returns: the packed message.
         """
         message = GossipMessage(
-            card=self._board.make_card(),
+            card=own_entry.make_card(self._board),
             leaving=tuple(self._board.leaving),
             loads=self._loads.own.export_all(),
             relayed=self._relay(),
--- a/src/dykemast/_internal/serving/members/own_entry.py
+++ b/src/dykemast/_internal/serving/members/own_entry.py
@@ -10,6 +10,7 @@
     MissingObjectError,
     VersionConflictError,
 )
+from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.platform.objects import ObjectStore
 from dykemast._internal.platform.store_types import ANY_REVISION, StoreObject
 from dykemast._internal.serving.state.board import (
@@ -33,6 +34,26 @@
 REGISTRATION_GRACE_S: Final = 15.0
 
 
+def make_card(board: ServingBoard) -> PeerCard:
+    """Describe this router for its peers.
+
+    :param board: the blackboard.
+    :returns: its card.
+    """
+    listeners = board.settings.listeners
+    return PeerCard(
+        instance=board.settings.name,
+        incarnation=board.incarnation,
+        hall=board.settings.hall,
+        host=listeners.caller.host,
+        caller_port=listeners.caller.port,
+        peer_port=listeners.peer.port,
+        revision=board.get_version(),
+        inflight=board.inflight,
+        leaving=board.stopping,
+    )
+
+
 async def register_self(board: ServingBoard, store: ObjectStore) -> None:
     """Write this router's own entry.
 
@@ -44,7 +65,7 @@
     :param store: the object store.
     :raises PlatformError: when a call to the store failed.
     """
-    card = msgspec.to_builtins(board.make_card())
+    card = msgspec.to_builtins(make_card(board))
     created = StoreObject(board.settings.name, 0, card)
     replaced = created._replace(revision=ANY_REVISION)
     if board.settings.first_start:
--- a/src/dykemast/_internal/serving/state/board.py
+++ b/src/dykemast/_internal/serving/state/board.py
@@ -248,24 +248,6 @@
         """
         return self.table.version if self.table else 0
 
-    def make_card(self) -> fleet.PeerCard:
-        """Describe this router for its peers.
-
-        :returns: its card.
-        """
-        listeners = self.settings.listeners
-        return fleet.PeerCard(
-            instance=self.settings.name,
-            incarnation=self.incarnation,
-            hall=self.settings.hall,
-            host=listeners.caller.host,
-            caller_port=listeners.caller.port,
-            peer_port=listeners.peer.port,
-            revision=self.get_version(),
-            inflight=self.inflight,
-            leaving=self.stopping,
-        )
-
 
 def is_silent(board: ServingBoard, peer: Peer) -> bool:
     """Tell whether no message of a peer arrived within the timeout.
--- a/tests/lib/budget_router.py
+++ b/tests/lib/budget_router.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from dykemast._internal.operations.allowance_terms import Identity
+from dykemast._internal.serving.members.own_entry import make_card
 from dykemast._internal.serving.state.board import Peer, ServingBoard
 from dykemast._internal.serving.tokens import (
     budget_owners,
@@ -80,6 +81,6 @@
 def _hear(board: ServingBoard, name: str, other: ServingBoard) -> None:
     known = board.peers.get(name)
     if known is None or known.card.incarnation != other.incarnation:
-        board.peers[name] = Peer(other.make_card())
+        board.peers[name] = Peer(make_card(other))
     board.peers[name].last_heard_at = read_clock()
     board.peers[name].budget_write_failed = other.budget_write_failed
--- a/tests/lib/serving_boards.py
+++ b/tests/lib/serving_boards.py
@@ -7,8 +7,10 @@
     InstanceSettings,
     Listeners,
 )
+from dykemast._internal.models.fleet import PeerCard
 from dykemast._internal.platform.configuration import CONFIGURATION_KIND
 from dykemast._internal.platform.servers import SERVER_KIND
+from dykemast._internal.serving.members.own_entry import make_card
 from dykemast._internal.serving.sending.server_paths import ServerPaths
 from dykemast._internal.serving.state.board import Peer, ServingBoard
 from dykemast._internal.utils.clock import read_clock
@@ -42,13 +44,23 @@
     now = read_clock()
     for board in boards:
         board.peers = {
-            other.settings.name: Peer(other.make_card(), now)
+            other.settings.name: Peer(make_card(other), now)
             for other in boards
             if other is not board
         }
     return boards
 
 
+def make_peer(name: str) -> Peer:
+    """Make a live peer, as another router knows it."""
+    return Peer(make_card(make_board(name)), read_clock())
+
+
+def make_cards(count: int) -> list[PeerCard]:
+    """Make the cards of several routers, without that of ``node-0``."""
+    return [make_card(board) for board in make_boards(count + 1)[1:]]
+
+
 def make_paths() -> ServerPaths:
     """Make the paths to servers of a router without peers."""
     return ServerPaths(make_board())
--- a/tests/unit/test_fleet_size.py
+++ b/tests/unit/test_fleet_size.py
@@ -22,7 +22,7 @@
 from dykemast._internal.serving.state.board import Peer, ServingBoard
 from dykemast._internal.serving.tokens import budget_upkeep
 from dykemast._internal.utils.clock import read_clock
-from tests.lib.serving_boards import make_board
+from tests.lib.serving_boards import make_board, make_peer
 
 SIZES = (30, 300, 1000)
 BUDGETS = 40
@@ -49,10 +49,7 @@
     """Make the board of the last router of a fleet, with all peers live."""
     *others, last = list_names(size + 1)
     board = make_board(last)
-    now = read_clock()
-    board.peers = CountedPeers(
-        {name: Peer(make_board(name).make_card(), now) for name in others}
-    )
+    board.peers = CountedPeers({name: make_peer(name) for name in others})
     return board
 
 
--- a/tests/unit/test_foreign_rows.py
+++ b/tests/unit/test_foreign_rows.py
@@ -9,6 +9,7 @@
 
 from dykemast._internal.exceptions import InvalidBudgetError
 from dykemast._internal.platform.store_types import StoreObject
+from dykemast._internal.serving.members.own_entry import make_card
 from dykemast._internal.serving.members import members
 from dykemast._internal.serving.tokens.ledger_objects import decode_ledger
 from dykemast._internal.platform.member_cards import decode_card
@@ -61,7 +62,7 @@
 
 async def test_a_foreign_entry_hides_no_router() -> None:
     board = make_board()
-    cards = [other.make_card()._asdict() for other in make_boards(4)]
+    cards = [make_card(other)._asdict() for other in make_boards(4)]
     cards[2]['peer_port'] = 70_000
     cards[3]['host'] = 'a name'
     found = [
@@ -77,7 +78,7 @@
 
 
 def test_an_entry_under_another_name_is_no_router() -> None:
-    card = make_board('node-1').make_card()
+    card = make_card(make_board('node-1'))
     assert decode_card(StoreObject('node-1', 1, list(card))) == card
     try:
         decode_card(StoreObject('node-2', 1, list(card)))
--- a/tests/unit/test_loans.py
+++ b/tests/unit/test_loans.py
@@ -16,7 +16,7 @@
 from dykemast._internal.serving.tokens.lending import Budgets, Lender
 from dykemast._internal.serving.tokens.loans import MAX_LENDERS, choose_lenders
 from dykemast._internal.utils.clock import read_clock
-from tests.lib.serving_boards import make_boards
+from tests.lib.serving_boards import make_boards, make_cards
 
 
 def make_account(name: str = 'node-0') -> Account:
@@ -24,7 +24,7 @@
 
 
 def test_an_owner_asks_those_first_that_it_lent_most() -> None:
-    peers = [board.make_card() for board in make_boards(30)[1:]]
+    peers = make_cards(29)
     account = make_account()
     record_loan(account, 'node-7', 5000)
     record_loan(account, 'node-9', 9000)
@@ -35,7 +35,7 @@
 
 
 def test_rows_with_spare_tokens_count_like_loans() -> None:
-    peers = [board.make_card() for board in make_boards(4)[1:]]
+    peers = make_cards(3)
     account = make_account()
     rows = {'x': LedgerRow('node-2', 900, 0, 100, 0)}
     account.known = Knowledge(BudgetLedger(1, 1000, rows))
