--- a/tests/unit/test_choice_cost.py
+++ b/tests/unit/test_choice_cost.py
@@ -1,7 +1,7 @@
 """Processor time of the choice of an engine.
 
-Estimating the pause risk of each engine adds up the counts of all routers. It is
-skipped for prompts that cannot delay streams.
+Estimating the pause risk of each engine adds up the counts of all routers. It
+is skipped for prompts that cannot delay streams.
 """
 
 from dykemast._internal.models.backend import BackendServer
