--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -155,6 +155,19 @@
         except OSError:
             return None
 
+    def write_configuration(self, configuration):
+        """Write a configuration, as the operator does."""
+        url = f'http://127.0.0.1:{self.store_port}/objects/config/main'
+        body = {'metadata': {'name': 'main'}, 'spec': configuration}
+        request = urllib.request.Request(
+            url,
+            json.dumps(body).encode(),
+            {'Content-Type': 'application/json'},
+            method='PUT',
+        )
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return answer.status
+
     def start_router(self, number, first='true'):
         """Start a router by the command of the deploy file."""
         name = f'edge-joinville-{1 + number}'
@@ -316,10 +329,14 @@
     def __init__(self, name, record, work_s):
         self.name = name
         self.record = record
-        #: Seconds that a run takes, by the beginning of its path.
+        #: Seconds that a run takes, by the beginning of its path; and from
+        #: one event of a stream to the next.
         self.work_s = work_s
+        self.event_s = 0.005
         #: Attempt ids of the requests that began to run, in order.
         self.runs = []
+        #: Tokens that each tenant got: those of prompts, and those handed out.
+        self.tokens = {}
 
     async def listen(self):
         self._server = await asyncio.start_server(
@@ -358,6 +375,9 @@
         self.runs.append(attempt)
         self.record.write(f'{self.name} runs {attempt}')
         path = first.split()[1]
+        if path.startswith('/stream/'):
+            await self._stream(fields, writer)
+            return
         await asyncio.sleep(
             next(s for begin, s in self.work_s.items() if path.startswith(begin))
         )
@@ -369,13 +389,38 @@
         await writer.drain()
 
 
-def make_request(path, attempt, body=b'', method='POST', deadline_ms=4000, **more):
+    async def _stream(self, fields, writer):
+        """Hand out all tokens that the request declares, one an event."""
+        attempt, tenant = fields['x-attempt-id'], fields.get('x-tenant', '')
+        prompt, _, output = fields['x-token-usage'].partition(',')
+        got = self.tokens.get(tenant, 0)
+        self.tokens[tenant] = got + int(prompt)
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\n'
+            b'X-Response-Seal: seal.%b\r\nX-Weight-Versions: 1\r\n'
+            b'Content-Type: text/event-stream\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+            % (attempt.encode(), self.name.encode())
+        )
+        for number in range(1, int(output) + 1):
+            await asyncio.sleep(self.event_s)
+            event = b'id: %d\ndata: t\n\n' % number
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            self.tokens[tenant] += 1
+            await writer.drain()
+        writer.write(b'0\r\n\r\n')
+        await writer.drain()
+
+
+def make_request(
+    path, attempt, body=b'', method='POST', deadline_ms=4000, key=KEY, **more
+):
     """Write the head and body of a client's request."""
     fields = {
         'Host': HOST,
         'X-Attempt-Id': attempt,
         'X-Deadline-Ms': str(deadline_ms),
-        'Authorization': f'Token {KEY}',
+        'Authorization': f'Token {key}',
         'Content-Length': str(len(body)),
         **{name.replace('_', '-'): text for name, text in more.items()},
     }
@@ -384,7 +429,13 @@
 
 
 async def read_answer(reader):
-    """Read a whole answer with a length: its status and body."""
+    """Read a whole answer: its status, fields and body."""
     first, fields = await read_head(reader)
+    if fields.get('transfer-encoding') == 'chunked':
+        body = b''
+        while size := int(await reader.readuntil(b'\r\n'), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readexactly(2)
+        return int(first.split()[1]), fields, body
     body = await reader.readexactly(int(fields.get('content-length', 0)))
     return int(first.split()[1]), fields, body
