--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -337,6 +337,8 @@
         self.runs = []
         #: Tokens that each tenant got: those of prompts, and those handed out.
         self.tokens = {}
+        #: The same by attempt id.
+        self.by_attempt = {}
 
     async def listen(self):
         self._server = await asyncio.start_server(
@@ -395,6 +397,7 @@
         prompt, _, output = fields['x-token-usage'].partition(',')
         got = self.tokens.get(tenant, 0)
         self.tokens[tenant] = got + int(prompt)
+        self.by_attempt[attempt] = int(prompt)
         writer.write(
             b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\n'
             b'X-Response-Seal: seal.%b\r\nX-Weight-Versions: 1\r\n'
@@ -407,6 +410,7 @@
             event = b'id: %d\ndata: t\n\n' % number
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
             self.tokens[tenant] += 1
+            self.by_attempt[attempt] += 1
             await writer.drain()
         writer.write(b'0\r\n\r\n')
         await writer.drain()
